--- a/coralquay/rules.py
+++ b/chutefork/rules.py
@@ -1,6 +1,6 @@
 """Every routing and admission decision of one exchange's call controller.
 
-Settings, events and actions are the dataclasses of `coralquay/interface.py`. The module is pure: time comes
+Settings, events and actions are the dataclasses of `chutefork/interface.py`. The module is pure: time comes
 with each event, chance from a generator seeded in the settings; it reads no clock and does no I/O.
 
 Method B of the OSA gateway paper with static rejection, kept per far exchange: own unanswered set-ups are
--- a/coralquay/wirehost.py
+++ b/chutefork/wirehost.py
@@ -1,6 +1,6 @@
 """Carries the simulator's wire to call controllers and their actions back: framing and translation only.
 
-Run as `python -m coralquay.wirehost`; one `CallController` per instance, nothing shared between them.
+Run as `python -m chutefork.wirehost`; one `CallController` per instance, nothing shared between them.
 """
 
 from __future__ import annotations
@@ -312,7 +312,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as fault:
-        print(f"coralquay.wirehost: {fault}", file=sys.stderr)
+        print(f"chutefork.wirehost: {fault}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from coralquay import (
+from chutefork import (
     Arrival,
     AttemptEnded,
     CallClass,
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from coralquay import CallController, Load, Note, PeerMessage, Report, Tell
+from chutefork import CallController, Load, Note, PeerMessage, Report, Tell
 
 from .desk import CLASS, Desk, ListKind, Outcome, Reason, SwitchState, answers, of, sends
 
