--- /dev/null
+++ b/chutefork/net/exchanges.py
@@ -0,0 +1,248 @@
+"""The legs of the platform's protocol: binary frames to and from the exchanges."""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+from twisted.internet import error
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import Int16StringReceiver
+
+from ..core import messages as m
+from ..interface import Outcome, Reason
+from .connection import LONGEST, Connection, log
+
+if TYPE_CHECKING:
+    from .callers import CallerFront
+    from .clock import TurnReactor
+    from .driver import Driver
+
+SETUP, PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, PASSED = 1, 6, 9, 12, 16, 43, 52, 53
+CLASS, LEFT, NUMBER, NOTE, WAIT, CAUSE, DESCRIPTION = 16, 19, 28, 37, 40, 58, 61
+GIVEN_UP = 16
+
+OUTCOMES = {34: Outcome.NOT_SET_UP, 17: Outcome.ERROR, 47: Outcome.ERROR, 102: Outcome.NOT_SENT,
+            41: Outcome.CUT, 16: Outcome.OK}
+REASONS = {"atb": Reason.NO_CIRCUIT, "rtb": Reason.TURNED_BACK, "racc": Reason.BEYOND_FULL,
+           "acc": Reason.PROCESSOR_FULL, "sub": Reason.LINES_BUSY}
+RETRY_US = (50_000, 200_000, 500_000, 1_000_000)  # gaps between tries to connect
+
+
+def frame_of(kind: int, call: int, parameters: list[tuple[int, bytes]]) -> bytes:
+    body = b"".join(struct.pack("!BH", code, len(value)) + value for code, value in parameters)
+    return struct.pack("!HBQ", 9 + len(body), kind, call) + body
+
+
+def read_frame(data: bytes) -> tuple[int, int, dict[int, bytes]]:
+    if len(data) < 9:
+        raise ValueError(f"a message of {len(data)} bytes")
+    kind, call = struct.unpack_from("!BQ", data)
+    at, parameters = 9, {}
+    while at < len(data):
+        if at + 3 > len(data):
+            raise ValueError("a parameter is cut off")
+        code, length = struct.unpack_from("!BH", data, at)
+        at += 3
+        if at + length > len(data):
+            raise ValueError(f"parameter {code} is cut off")
+        parameters[code] = data[at:at + length]
+        at += length
+    return kind, call, parameters
+
+
+class ExchangeProtocol(Connection, Int16StringReceiver):
+    role = "exchange"
+    MAX_LENGTH = LONGEST
+
+    def __init__(self, link: ExchangeLink) -> None:
+        self.link = link
+        self.clock = link.clock
+        self.peer = f"{link.hub.name}@{link.hub.address}"
+
+    def connectionMade(self) -> None:  # noqa: N802
+        super().connectionMade()
+        self.link.made(self)
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        self.taken += 1
+        try:
+            kind, call, parameters = read_frame(string)
+            self.link.heard(kind, call, parameters)
+        except (ValueError, struct.error) as fault:
+            self.end("bad-frame", str(fault))
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        self.end("long-frame", f"{length} bytes")
+
+    def lost(self) -> None:
+        self.link.lost(self)
+
+
+class _Connector(ClientFactory):
+    noisy = False
+
+    def __init__(self, link: ExchangeLink) -> None:
+        self.link = link
+
+    def buildProtocol(self, addr: object) -> ExchangeProtocol:  # noqa: N802
+        return ExchangeProtocol(self.link)
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:  # noqa: N802
+        self.link.failed(reason)
+
+
+class ExchangeLink:
+    """One exchange: its connection, the set-ups out there, and what waits to be sent."""
+
+    def __init__(self, legs: ExchangeLegs, hub: m.Hub) -> None:
+        self.legs = legs
+        self.clock = legs.clock
+        self.hub = hub
+        self.sends = True
+        self.wanted = True
+        self.connection: ExchangeProtocol | None = None
+        self.connecting = False
+        self.tries = 0
+        self.retry = None
+        self.open: set[int] = set()  # set-ups whose end has not been heard
+        self.queue: dict[int, tuple[m.SetUp, int]] = {}  # waiting for the connection: call -> set-up, since
+        self.releases: list[bytes] = []
+
+    def connect(self) -> None:
+        self.retry = None
+        if self.connecting or self.connection is not None or not self.wanted:
+            return
+        host, _, port = self.hub.address.rpartition(":")
+        self.connecting = True
+        self.clock.connectTCP(host, int(port), _Connector(self), timeout=self.legs.connect_timeout_s)
+
+    def made(self, connection: ExchangeProtocol) -> None:
+        self.connecting, self.tries, self.connection = False, 0, connection
+        if not self.wanted:
+            connection.end("let-go")
+            return
+        releases, self.releases = self.releases, []
+        for data in releases:
+            connection.push(data)
+        waiting, self.queue = self.queue, {}
+        for set_up, since in waiting.values():
+            self.send(set_up, since)
+
+    def failed(self, reason: object) -> None:
+        """Nothing ran of what waited for this connection; a refusal is proof that no process is there."""
+        self.connecting = False
+        refused = reason.check(error.ConnectionRefusedError) is not None
+        if not self.tries or self.queue:
+            log(f"end role=exchange peer={self.hub.name}@{self.hub.address}"
+                f" code={'refused' if refused else 'unreached'} age_ms=0 in=0 out=0")
+        self.tries += 1
+        waiting, self.queue = self.queue, {}
+        if refused:
+            self.releases.clear()
+        if self.wanted:
+            gap_us = RETRY_US[min(self.tries, len(RETRY_US)) - 1]
+            self.retry = self.clock.callLater(gap_us / 1e6, self.connect)
+        for call in waiting:
+            self.legs.driver.tell(m.Ended(call, self.hub.name, Outcome.NOT_REACHED))
+        if refused:
+            self.legs.driver.tell(m.HubLost(self.hub.name))
+
+    def lost(self, connection: ExchangeProtocol) -> None:
+        if self.connection is connection:
+            self.connection = None
+        ended, self.open = self.open, set()
+        if self.wanted:
+            self.retry = self.clock.callLater(RETRY_US[0] / 1e6, self.connect)
+        for call in sorted(ended):
+            self.legs.driver.tell(m.Ended(call, self.hub.name, Outcome.CUT))
+
+    def set_up(self, effect: m.SetUp) -> None:
+        if self.connection is not None:
+            self.send(effect, self.clock.now_us())
+            return
+        self.queue[effect.call] = effect, self.clock.now_us()
+        if self.retry is not None:
+            self.retry.cancel()
+            self.retry = None
+        self.connect()
+
+    def send(self, effect: m.SetUp, since: int) -> None:
+        left_us = effect.wait_us - (self.clock.now_us() - since)
+        name, key, body = self.legs.front.bodies.get(effect.call, ("", "", ""))
+        data = frame_of(SETUP, effect.call, [
+            (CLASS, name.encode()), (LEFT, str(max(left_us // 1000, 1)).encode()), (NUMBER, key.encode()),
+            (DESCRIPTION, body.encode())])
+        if self.connection is None or not self.connection.push(data):
+            self.legs.driver.later(m.Ended(effect.call, self.hub.name, Outcome.NOT_SENT))
+            return
+        self.open.add(effect.call)
+
+    def release(self, effect: m.Release) -> None:
+        if self.queue.pop(effect.call, None) is not None:
+            return
+        self.open.discard(effect.call)
+        data = frame_of(RELEASE, effect.call, [(CAUSE, bytes([GIVEN_UP]))])
+        if self.connection is None or not self.connection.push(data):
+            self.releases.append(data)
+
+    def heard(self, kind: int, call: int, parameters: dict[int, bytes]) -> None:
+        tell, name = self.legs.driver.tell, self.hub.name
+        if kind == ANSWER:
+            self.open.discard(call)
+            tell(m.Stands(call, name, parameters.get(DESCRIPTION, b"").decode("utf-8", "replace")))
+        elif kind == RELEASE:
+            cause = parameters.get(CAUSE, b"")
+            if len(cause) != 1:
+                raise ValueError("a release without its cause")
+            self.open.discard(call)
+            note, wait = parameters.get(NOTE, b"").decode("ascii", "replace"), parameters.get(WAIT)
+            wait_us = int(float(wait) * 1000) if wait else None
+            tell(m.Ended(call, name, OUTCOMES.get(cause[0], Outcome.ERROR), REASONS.get(note, Reason.NONE),
+                         wait_us))
+        elif kind not in (PROGRESS, HEARD, PASSED):
+            log(f"TRACE kind={kind} call={call:016x} {parameters}")
+
+
+class ExchangeLegs:
+    def __init__(self, driver: Driver, front: CallerFront, clock: TurnReactor,
+                 connect_timeout_s: float) -> None:
+        self.driver = driver
+        self.front = front
+        self.clock = clock
+        self.connect_timeout_s = connect_timeout_s
+        self.links: dict[str, ExchangeLink] = {}
+
+    def reach(self, effect: m.Reach) -> None:
+        link = self.links.get(effect.hub.name)
+        if link is None:
+            if not effect.wanted:
+                return
+            link = self.links[effect.hub.name] = ExchangeLink(self, effect.hub)
+        link.hub, link.wanted, link.sends = effect.hub, effect.wanted, effect.sends
+        if not effect.sends:
+            waiting, link.queue = link.queue, {}
+            for call in waiting:  # guards the drain: what waits for a connection would go out late
+                self.driver.later(m.Ended(call, link.hub.name, Outcome.NOT_SENT))
+        if effect.wanted:
+            if link.retry is None:
+                link.connect()
+            return
+        del self.links[effect.hub.name]
+        if link.retry is not None:
+            link.retry.cancel()
+            link.retry = None
+        if link.connection is not None:
+            link.connection.end("let-go")
+
+    def set_up(self, effect: m.SetUp) -> None:
+        link = self.links.get(effect.hub)
+        if link is None or not link.sends:
+            self.driver.later(m.Ended(effect.call, effect.hub, Outcome.NOT_SENT))
+        else:
+            link.set_up(effect)
+
+    def release(self, effect: m.Release) -> None:
+        link = self.links.get(effect.hub)
+        if link is not None:
+            link.release(effect)
