--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -7,10 +7,12 @@
 import signal
 import sys
 
+from twisted.logger import globalLogBeginner
+
 from .config import Config, ConfigError, address_of, hubs_of, load
 from .core.reducer import State
 from .net.clock import TurnReactor, UnixPlace, install
-from .net.connection import log
+from .net.connection import log, log_failure
 
 ACCEPT_S = 0.75  # after SIGTERM connections and requests go on coming for up to 0.6 s
 LONGEST_S = 3.0  # a deadline counts at most so long for the end after SIGTERM
@@ -39,7 +41,9 @@
         self.channel.connect()
         host, port = self.config.listen
         self.port = self.clock.listenTCP(port, self.front.factory, backlog=512, interface=host)
-        self.front.started = True
+        self.legs.all_tried = self.front.be_ready
+        self.legs.settled()
+        self.front.sweep()
         log(f"serving name={self.config.name} listen={host}:{self.port.getHost().port}")
 
     def told(self, commands: list) -> None:
@@ -50,7 +54,8 @@
 
     def terminate(self) -> None:
         until = self.clock.now_us() + round((min(self.config.deadline_s, LONGEST_S) + 0.6) * 1e6)
-        log("leaving: SIGTERM")
+        log("leaving cause=SIGTERM")
+        self.front.leaving = True
         self.clock.callLater(ACCEPT_S, self.leave, until)
 
     def leave(self, until: int) -> None:
@@ -59,8 +64,17 @@
         if left and self.clock.now_us() < until:
             self.clock.callLater(0.02, self.leave, until)
             return
-        log(f"left: unanswered={len(self.front.owed)} standing={len(self.front.standing)}")
-        self.clock.stop()
+        log(f"left unanswered={len(self.front.owed)} standing={len(self.front.standing)}")
+        for connection in list(self.front.connections):
+            connection.end("leaving")
+        self.part(self.clock.now_us() + 300_000)
+
+    def part(self, until: int) -> None:
+        """What was written last has still to go out."""
+        if self.front.connections and self.clock.now_us() < until:
+            self.clock.callLater(0.01, self.part, until)
+        else:
+            self.clock.stop()
 
 
 def main() -> int:
@@ -72,6 +86,7 @@
     except ConfigError as fault:
         print(f"chutefork: {fault}", file=sys.stderr)
         return 2
+    globalLogBeginner.beginLoggingTo([log_failure], redirectStandardIO=False, discardBuffer=True)
     clock = install()
     platform = Platform(config, clock)
     try:
--- a/chutefork/config.py
+++ b/chutefork/config.py
@@ -8,6 +8,8 @@
 
 from . import interface as api
 from .core import messages as m
+from .net.clock import UnixPlace
+from .net.connection import log
 
 
 class ConfigError(Exception):
@@ -145,20 +147,18 @@
           "Gone": api.SwitchState.GONE}
 
 
-def hubs_of(command: dict, place) -> m.HubsListed | None:
+def hubs_of(command: dict, place: UnixPlace) -> m.HubsListed | None:
     """One event of the command channel as the core's; None where it is of a kind not known here."""
     nodes = command.get("nodes")
     if nodes is None:
         return None
     hubs = []
     for item in nodes["endpoints"]:
-        state = STATES.get(item["status"])
-        if state is None:
-            continue
-        host, _, port = str(item["address"]).rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError(f"address {item['address']!r}")
-        hubs.append(m.Hub(str(item["name"]), int(item["group"]), state, f"{host}:{port}",
-                          place.monotonic_us(float(item.get("since_ms", 0)))))
+        try:
+            address_of(item["address"], "address")
+            hubs.append(m.Hub(str(item["name"]), int(item["group"]), STATES[item["status"]], item["address"],
+                              place.monotonic_us(float(item.get("since_ms", 0)))))
+        except (ConfigError, ValueError, KeyError, TypeError, AttributeError, OverflowError) as fault:
+            log(f"bad-endpoint detail={f'{type(fault).__name__}: {fault}'[:160]!r}")
     kind = api.ListKind.COMPLETE if nodes.get("snapshot") else api.ListKind.CHANGES
     return m.HubsListed(kind, tuple(hubs))
--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -218,6 +218,10 @@
         effects.append(m.Over(event.call, event.outcome is not api.Outcome.OK))
         _decide(state, api.AttemptEnded(event.call, 0, state.switches[event.hub], event.outcome, 0.0, True,
                                         event.reason, None, None), now, effects)
+    elif event.call not in state.finished and event.call not in state.standing:
+        # A call that stood before this program's restart is over: only its caller still knows of it.
+        state.finished[event.call] = now
+        effects.append(m.Over(event.call, event.outcome is not api.Outcome.OK))
 
 
 def _on_hubs(state: State, event: m.HubsListed, now: int, effects: list[m.Effect]) -> None:
@@ -269,6 +273,8 @@
 def _on_lost(state: State, event: m.HubLost, now: int, effects: list[m.Effect]) -> None:
     entry = state.hubs.get(event.hub)
     if entry is not None:
+        # released there too: were it a full listener and no dead process, the calls would stand unowned
+        effects.extend(m.Release(call, event.hub) for call in sorted(entry.standing))
         _cut_all(state, entry, now, effects)
 
 
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -22,6 +22,10 @@
 NO_CIRCUIT = 34
 FAILED = 41
 ENDED = 16
+IDLE_US = 60_000_000  # callers close such a connection themselves after 4 s
+SWEEP_S = 5.0
+MOST_CHECKS = 64
+MOST_UNSENT = 10_000
 
 
 def line_of(kind: str, uid: str, meta: dict | None = None, **more: object) -> bytes:
@@ -55,7 +59,7 @@
             self.end("bad-line", f"{type(fault).__name__}: {fault}")
             return
         if kind == "check":
-            self.push(line_of("checked", uid, reason=1 if self.front.ready() else 0))
+            self.front.check(self, uid)
             return
         if kind not in ("launch", "stop"):
             return  # progress, release heard and whatever a later day adds mean nothing here
@@ -85,12 +89,33 @@
         self.standing: dict[int, tuple[CallerProtocol, str]] = {}
         self.unsent: list[bytes] = []  # releases for which no connection was open
         self.bodies: dict[int, tuple[str, str, str]] = {}  # class, number and description as given
-        self.started = False
+        self.ready = False
+        self.leaving = False
+        self.checks: list[tuple[CallerProtocol, str]] = []  # asked before this program was ready
         self.factory = Factory.forProtocol(lambda: CallerProtocol(self))
         self.factory.noisy = False
 
-    def ready(self) -> bool:
-        return self.started
+    def check(self, connection: CallerProtocol, uid: str) -> None:
+        """Answered only once the list of exchanges is known and each of them has been tried."""
+        if self.ready:
+            connection.push(line_of("checked", uid, reason=0 if self.leaving else 1))
+        elif len(self.checks) < MOST_CHECKS:
+            self.checks.append((connection, uid))
+
+    def be_ready(self) -> None:
+        self.ready = True
+        checks, self.checks = self.checks, []
+        for connection, uid in checks:
+            self.check(connection, uid)
+
+    def sweep(self) -> None:
+        """Guards against callers that vanish without a word: their descriptors would be held for ever."""
+        busy = {place[0] for place in self.standing.values()}
+        for connection in list(self.connections):
+            if (not connection.open and connection not in busy
+                    and self.clock.now_us() - connection.used_at > IDLE_US):
+                connection.end("idle")
+        self.clock.callLater(SWEEP_S, self.sweep)
 
     def launch(self, connection: CallerProtocol, call: int, uid: str, record: dict) -> None:
         if call in self.owed or call in self.standing:
@@ -125,6 +150,7 @@
             self.tenants.get(str(meta.get("tenant", "")), 0), called, int(float(extras["dest"])),
             extras.get("transit") == "1", extras.get("again") == "1", False,
             int(float(extras.get("via", -1))))
+        body.encode()  # a lone surrogate can be read as JSON and sent by nobody
         if not 0 < arrival.width < 1e6:
             raise ValueError(f"width {arrival.width!r} is out of range")
         return arrival, (name, key, body)
@@ -153,10 +179,17 @@
 
     def answer(self, effect: m.Answer) -> None:
         place = self.settle(effect.call)
-        if place is not None:
-            self.standing[effect.call] = place
-            place[0].push(line_of("running", place[1], body=effect.description))
         self.bodies.pop(effect.call, None)
+        if place is None:
+            return
+        data = line_of("running", place[1], body=effect.description)
+        if len(data) > LONGEST:
+            log(f"long-answer uid={place[1]} bytes={len(data)}")
+            place[0].push(line_of("stop", place[1], reason=FAILED))
+        elif place[0].push(data):
+            self.standing[effect.call] = place
+            return
+        self.driver.later(m.Withdrawn(effect.call))
 
     def refuse(self, effect: m.Refuse) -> None:
         place = self.settle(effect.call)
@@ -174,15 +207,13 @@
 
     def over(self, effect: m.Over) -> None:
         """On the set-up's own connection, else on any open one, else on the next that is made."""
-        place = self.standing.pop(effect.call, None)
-        if place is None:
-            return
-        connection, uid = place
+        connection, uid = self.standing.pop(effect.call, (None, f"{effect.call:016x}"))
         data = line_of("stop", uid, reason=FAILED if effect.cut else ENDED)
         for candidate in (connection, *reversed(self.connections)):
             if candidate in self.connections and candidate.push(data):
                 return
-        self.unsent.append(data)
+        if len(self.unsent) < MOST_UNSENT:
+            self.unsent.append(data)
 
     def flush(self, connection: CallerProtocol) -> None:
         waiting, self.unsent = self.unsent, []
--- a/chutefork/net/channel.py
+++ b/chutefork/net/channel.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from .clock import TurnReactor
 
-BLOCK_MS = 5000
-SILENT_S = 7.0  # no answer by then: the channel is away, whatever the connection says
+BLOCK_MS = 1000  # short, so that a connection that fell silent is noticed well before its news binds
+SILENT_S = 2.5  # no answer by then: the channel is away, whatever the connection says
 RETRY_S = (0.05, 0.2, 0.5, 1.0)
 LARGEST = 4 * 1024 * 1024
 
--- a/chutefork/net/connection.py
+++ b/chutefork/net/connection.py
@@ -18,11 +18,25 @@
 CHUNK = 16 * 1024
 
 
+LINGER_S = 2.0  # what is queued has so long to go out once the connection is to end
+
+
 def log(text: str) -> None:
     sys.stdout.write(text + "\n")
     sys.stdout.flush()
 
 
+def log_failure(event: dict) -> None:
+    """Observes Twisted's own log: a fault nobody caught is one line, with the place where it arose."""
+    failure = event.get("log_failure")
+    if failure is not None:
+        frames = failure.getTracebackObject()
+        while frames is not None and frames.tb_next is not None:
+            frames = frames.tb_next
+        place = f"{frames.tb_frame.f_code.co_filename}:{frames.tb_lineno}" if frames else "-"
+        log(f"fault type={failure.type.__name__} at={place} detail={failure.getErrorMessage()[:160]!r}")
+
+
 @implementer(IPushProducer)
 class Connection:
     """Mixed in before one of Twisted's line or string receivers, which it feeds.
@@ -37,6 +51,7 @@
     held = False  # the transport takes no more for now
     ended = False
     feeding = False
+    linger = None
     taken = 0
     sent = 0
 
@@ -44,6 +59,7 @@
         self.inward = RingBuffer(IN_BOUND)
         self.outward = RingBuffer(OUT_BOUND)
         self.made_at = self.clock.now_us()
+        self.used_at = self.made_at
         address = self.transport.getPeer()
         if self.peer == "-":
             self.peer = f"{address.host}:{address.port}"
@@ -52,6 +68,7 @@
         super().connectionMade()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.used_at = self.clock.now_us()
         if not self.inward.put(data):
             self.end("in-overflow", at_once=True)
             return
@@ -105,13 +122,18 @@
         if at_once:
             self.transport.abortConnection()
         else:
+            self.held = False
+            self.drain()
             self.transport.unregisterProducer()
             self.transport.loseConnection()
+            self.linger = self.clock.callLater(LINGER_S, self.transport.abortConnection)
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         if self.ended:
             return
         self.ended = True
+        if self.linger is not None and self.linger.active():
+            self.linger.cancel()
         if not self.code:
             if reason.check(error.ConnectionDone):
                 self.code = "peer-closed"
--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from twisted.internet import error
@@ -19,13 +20,15 @@
     from .driver import Driver
 
 SETUP, PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, PASSED = 1, 6, 9, 12, 16, 43, 52, 53
-CLASS, LEFT, NUMBER, NOTE, WAIT, CAUSE, DESCRIPTION = 16, 19, 28, 37, 40, 58, 61
+CLASS, LEFT, NUMBER, NOTE, WAIT, GROUP, CAUSE, DESCRIPTION = 16, 19, 28, 37, 40, 43, 58, 61
 GIVEN_UP = 16
 
 OUTCOMES = {34: Outcome.NOT_SET_UP, 17: Outcome.ERROR, 47: Outcome.ERROR, 102: Outcome.NOT_SENT,
             41: Outcome.CUT, 16: Outcome.OK}
 REASONS = {"atb": Reason.NO_CIRCUIT, "rtb": Reason.TURNED_BACK, "racc": Reason.BEYOND_FULL,
            "acc": Reason.PROCESSOR_FULL, "sub": Reason.LINES_BUSY}
+SILENT_US = 2_000_000  # states of the group come far more often where anything goes on
+MOST_RELEASES = 10_000
 RETRY_US = (50_000, 200_000, 500_000, 1_000_000)  # gaps between tries to connect
 
 
@@ -54,18 +57,26 @@
 class ExchangeProtocol(Connection, Int16StringReceiver):
     role = "exchange"
     MAX_LENGTH = LONGEST
+    heard_at = 0
 
     def __init__(self, link: ExchangeLink) -> None:
         self.link = link
         self.clock = link.clock
+        self.open: set[int] = set()  # set-ups sent here whose end has not been heard
         self.peer = f"{link.hub.name}@{link.hub.address}"
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
+        self.heard_at = self.made_at
         self.link.made(self)
 
+    def resumeProducing(self) -> None:  # noqa: N802
+        super().resumeProducing()
+        self.link.flush()
+
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         self.taken += 1
+        self.heard_at = self.clock.now_us()
         try:
             kind, call, parameters = read_frame(string)
             self.link.heard(kind, call, parameters)
@@ -105,7 +116,7 @@
         self.connecting = False
         self.tries = 0
         self.retry = None
-        self.open: set[int] = set()  # set-ups whose end has not been heard
+        self.old: set[ExchangeProtocol] = set()  # silent ones that a new connection takes the place of
         self.queue: dict[int, tuple[m.SetUp, int]] = {}  # waiting for the connection: call -> set-up, since
         self.releases: list[bytes] = []
 
@@ -115,19 +126,25 @@
             return
         host, _, port = self.hub.address.rpartition(":")
         self.connecting = True
+        self.address = self.hub.address
         self.clock.connectTCP(host, int(port), _Connector(self), timeout=self.legs.connect_timeout_s)
 
     def made(self, connection: ExchangeProtocol) -> None:
         self.connecting, self.tries, self.connection = False, 0, connection
-        if not self.wanted:
+        self.legs.settled()
+        if not self.wanted or self.address != self.hub.address:
             connection.end("let-go")
             return
-        releases, self.releases = self.releases, []
-        for data in releases:
+        for data in self.releases:
             connection.push(data)
-        waiting, self.queue = self.queue, {}
-        for set_up, since in waiting.values():
-            self.send(set_up, since)
+        self.releases.clear()
+        self.flush()
+
+    def flush(self) -> None:
+        """Set-ups wait here, not in a connection's buffer: a drain can still take them back."""
+        while self.queue and self.connection is not None and not self.connection.held:
+            call = next(iter(self.queue))
+            self.send(*self.queue.pop(call))
 
     def failed(self, reason: object) -> None:
         """Nothing ran of what waited for this connection; a refusal is proof that no process is there."""
@@ -137,10 +154,9 @@
             log(f"end role=exchange peer={self.hub.name}@{self.hub.address}"
                 f" code={'refused' if refused else 'unreached'} age_ms=0 in=0 out=0")
         self.tries += 1
+        self.legs.settled()
         waiting, self.queue = self.queue, {}
-        if refused:
-            self.releases.clear()
-        if self.wanted:
+        if self.wanted and self.connection is None:
             gap_us = RETRY_US[min(self.tries, len(RETRY_US)) - 1]
             self.retry = self.clock.callLater(gap_us / 1e6, self.connect)
         for call in waiting:
@@ -149,19 +165,31 @@
             self.legs.driver.tell(m.HubLost(self.hub.name))
 
     def lost(self, connection: ExchangeProtocol) -> None:
+        self.old.discard(connection)
         if self.connection is connection:
             self.connection = None
-        ended, self.open = self.open, set()
-        if self.wanted:
-            self.retry = self.clock.callLater(RETRY_US[0] / 1e6, self.connect)
+            if self.wanted and self.retry is None and not self.connecting:
+                self.retry = self.clock.callLater(RETRY_US[0] / 1e6, self.connect)
+        ended, connection.open = connection.open, set()
         for call in sorted(ended):
             self.legs.driver.tell(m.Ended(call, self.hub.name, Outcome.CUT))
 
+    def doubt(self, connection: ExchangeProtocol) -> None:
+        """Guards against a peer that fell silent without a word: an attempt timed out there and nothing at
+        all has come since long before. What comes next goes by a new connection, which tells in half a
+        second whether anybody is there; the old one closes once nothing is open on it."""
+        if self.connection is connection and self.clock.now_us() - connection.heard_at > SILENT_US:
+            self.connection = None
+            self.old.add(connection)
+            self.connect()
+        if connection in self.old and not connection.open:
+            connection.end("silent")
+
     def set_up(self, effect: m.SetUp) -> None:
+        self.queue[effect.call] = effect, self.clock.now_us()
         if self.connection is not None:
-            self.send(effect, self.clock.now_us())
+            self.flush()
             return
-        self.queue[effect.call] = effect, self.clock.now_us()
         if self.retry is not None:
             self.retry.cancel()
             self.retry = None
@@ -176,32 +204,41 @@
         if self.connection is None or not self.connection.push(data):
             self.legs.driver.later(m.Ended(effect.call, self.hub.name, Outcome.NOT_SENT))
             return
-        self.open.add(effect.call)
+        self.connection.open.add(effect.call)
 
     def release(self, effect: m.Release) -> None:
         if self.queue.pop(effect.call, None) is not None:
             return
-        self.open.discard(effect.call)
         data = frame_of(RELEASE, effect.call, [(CAUSE, bytes([GIVEN_UP]))])
-        if self.connection is None or not self.connection.push(data):
+        own = next((item for item in (self.connection, *self.old) if item and effect.call in item.open), None)
+        carrier = own or self.connection
+        if (carrier is None or not carrier.push(data)) and len(self.releases) < MOST_RELEASES:
             self.releases.append(data)
+        if own is not None:
+            own.open.discard(effect.call)
+            self.doubt(own)
 
     def heard(self, kind: int, call: int, parameters: dict[int, bytes]) -> None:
         tell, name = self.legs.driver.tell, self.hub.name
+        if kind in (ANSWER, RELEASE):
+            for connection in (self.connection, *self.old):
+                if connection is not None:
+                    connection.open.discard(call)
         if kind == ANSWER:
-            self.open.discard(call)
-            tell(m.Stands(call, name, parameters.get(DESCRIPTION, b"").decode("utf-8", "replace")))
+            tell(m.Stands(call, name, parameters.get(DESCRIPTION, b"").decode("utf-8")))
         elif kind == RELEASE:
             cause = parameters.get(CAUSE, b"")
             if len(cause) != 1:
                 raise ValueError("a release without its cause")
-            self.open.discard(call)
             note, wait = parameters.get(NOTE, b"").decode("ascii", "replace"), parameters.get(WAIT)
             wait_us = int(float(wait) * 1000) if wait else None
             tell(m.Ended(call, name, OUTCOMES.get(cause[0], Outcome.ERROR), REASONS.get(note, Reason.NONE),
                          wait_us))
-        elif kind not in (PROGRESS, HEARD, PASSED):
-            log(f"TRACE kind={kind} call={call:016x} {parameters}")
+        elif kind == STATE:
+            text = parameters.get(GROUP, b"").decode("ascii", "replace")
+            figures = dict(part.split(":", 1) for part in text.split(";") if ":" in part)
+            if "idle" in figures and "circuits" in figures:
+                tell(m.GroupTold(name, float(figures["idle"]), float(figures["circuits"])))
 
 
 class ExchangeLegs:
@@ -212,6 +249,13 @@
         self.clock = clock
         self.connect_timeout_s = connect_timeout_s
         self.links: dict[str, ExchangeLink] = {}
+        self.all_tried: Callable[[], None] | None = None  # once, when every link has been up or has failed
+
+    def settled(self) -> None:
+        waiting = any(item.connection is None and not item.tries for item in self.links.values())
+        if self.links and not waiting and self.all_tried is not None:
+            self.all_tried()
+            self.all_tried = None
 
     def reach(self, effect: m.Reach) -> None:
         link = self.links.get(effect.hub.name)
@@ -219,7 +263,11 @@
             if not effect.wanted:
                 return
             link = self.links[effect.hub.name] = ExchangeLink(self, effect.hub)
+        moved = link.hub.address != effect.hub.address
         link.hub, link.wanted, link.sends = effect.hub, effect.wanted, effect.sends
+        if moved and link.connection is not None:
+            link.connection.end("moved")
+            link.connection = None
         if not effect.sends:
             waiting, link.queue = link.queue, {}
             for call in waiting:  # guards the drain: what waits for a connection would go out late
@@ -232,8 +280,9 @@
         if link.retry is not None:
             link.retry.cancel()
             link.retry = None
-        if link.connection is not None:
-            link.connection.end("let-go")
+        for connection in (link.connection, *link.old):
+            if connection is not None:
+                connection.end("let-go")
 
     def set_up(self, effect: m.SetUp) -> None:
         link = self.links.get(effect.hub)
