--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,287 @@
+"""The real program on the platform's protocol: callers' lines, exchanges' frames, the command channel."""
+
+import json
+import select
+import time
+import unittest
+
+from .stand import SETTINGS, PlatformCase, until
+
+A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
+
+
+class Calls(PlatformCase):
+    def stand(self, caller, uid=A):
+        caller.launch(uid)
+        self.assertEqual(self.one.read()[:2], (1, uid))
+        self.one.answer(uid)
+        self.assertEqual(caller.read()["kind"], "running")
+
+    def test_a_call_is_passed_on_answered_and_ended(self):
+        caller = self.caller()
+        caller.launch(A, body="v=0\r\nm=audio é")
+        kind, uid, found = self.one.read()
+        self.assertEqual((kind, uid), (1, A))
+        self.assertEqual((found[16], found[28]), (b"rate-quote", b"7f3a"))
+        self.assertEqual(found[61].decode(), "v=0\r\nm=audio é")
+        self.assertTrue(1000 < int(found[19]) < 1500)
+        self.one.send(6, A)
+        self.one.answer(A, "réponse\r\n".encode())
+        answer = caller.read()
+        self.assertEqual((answer["kind"], answer["uid"], answer["body"]), ("running", A, "réponse\r\n"))
+        self.one.release(A, 16)
+        over = caller.read()
+        self.assertEqual((over["kind"], over["uid"], over["reason"]), ("stop", A, 16))
+
+    def test_a_refusal_is_final_at_once_and_says_when_to_come_back(self):
+        caller = self.caller()
+        began = time.monotonic()
+        caller.launch(A, left=9000)
+        self.one.read()
+        self.one.release(A, 34, (37, b"acc"), (40, b"1800"))
+        refused = caller.read()
+        self.assertIn(refused["reason"], (34, 42, 102))
+        self.assertTrue(0 < int(refused["meta"]["wait"]) <= 2000)
+        self.assertLess(time.monotonic() - began, 2.0)
+        self.assertTrue(caller.silent(0.1))
+
+    def test_no_answer_in_time_is_refused_before_the_caller_leaves_and_a_late_answer_is_released(self):
+        caller = self.caller()
+        began = time.monotonic()
+        caller.launch(A, left=400)
+        self.one.read()
+        refused = caller.read()
+        self.assertLess(time.monotonic() - began, 0.4)
+        self.assertIn(refused["reason"], (34, 42, 102))
+        self.assertEqual(self.one.read()[:2], (12, A))
+        self.one.answer(A)
+        self.assertEqual(self.one.read()[:2], (12, A))
+        self.assertTrue(caller.silent(0.1))
+
+    def test_a_reset_attempt_is_sent_again_only_after_the_release_wait(self):
+        caller = self.caller()
+        caller.launch(A, left=1500)
+        self.one.read()
+        self.one.release(A, 41)
+        ended = time.monotonic()
+        self.assertEqual(self.two.read()[:2], (1, A))
+        self.assertGreaterEqual(time.monotonic() - ended, 0.3)
+        self.two.answer(A)
+        self.assertEqual(caller.read()["kind"], "running")
+
+    def test_a_blocked_call_goes_round_by_the_other_exchange_one_attempt_at_a_time(self):
+        caller = self.caller()
+        caller.launch(A)
+        self.one.read()
+        self.assertFalse(select.select([self.two.links[0]], [], [], 0.1)[0])
+        self.one.release(A, 102, (37, b"atb"))
+        self.assertEqual(self.two.read()[:2], (1, A))
+        self.two.answer(A)
+        self.assertEqual(caller.read()["kind"], "running")
+
+    def test_a_call_in_transit_goes_only_to_its_destination(self):
+        caller = self.caller()
+        caller.launch(A, extras="width:1;via:2;transit:1")
+        self.one.read()
+        self.one.release(A, 102, (37, b"atb"))
+        self.assertIn(caller.read()["reason"], (34, 42, 102))
+
+    def test_a_lost_exchange_connection_leaves_one_final_answer_and_a_release_for_what_stood(self):
+        caller = self.caller()
+        self.stand(caller)
+        caller.launch(B, left=1000)
+        self.one.read()
+        self.one.close()
+        ended = {record["uid"]: record for record in (caller.read(), caller.read())}
+        self.assertEqual({uid: record["kind"] for uid, record in ended.items()}, {A: "stop", B: "stop"})
+        self.assertNotEqual(ended[A]["reason"], 16)
+        self.assertTrue(caller.silent(0.2))
+
+    def test_the_end_of_a_call_goes_by_another_connection_when_its_own_is_gone(self):
+        first = self.caller()
+        self.stand(first)
+        first.close()
+        self.program.wait_log("end role=caller", "code=peer-closed")
+        self.one.release(A, 16)
+        second = self.caller()
+        self.assertEqual((second.read() or {}).get("uid"), A)
+
+    def test_a_set_up_given_up_is_released_and_owed_no_answer(self):
+        caller = self.caller()
+        caller.launch(A)
+        self.one.read()
+        caller.send(kind="stop", uid=A, meta={}, reason=16)
+        kind, uid, found = self.one.read()
+        self.assertEqual((kind, uid, found[58]), (12, A, b"\x10"))
+        self.assertTrue(caller.silent(0.1))
+
+    def test_a_call_that_stands_is_hung_up_from_another_connection(self):
+        self.stand(self.caller())
+        self.caller().send(kind="stop", uid=A, meta={}, reason=16)
+        self.assertEqual(self.one.read()[:2], (12, A))
+
+    def test_a_release_of_a_call_from_before_a_restart_reaches_a_caller(self):
+        caller = self.caller()
+        self.stand(caller, B)
+        self.one.release(C, 16)
+        over = caller.read()
+        self.assertEqual((over["kind"], over["uid"]), ("stop", C))
+
+    def test_a_second_set_up_of_one_id_is_one_attempt_and_one_answer(self):
+        caller = self.caller()
+        caller.launch(A)
+        caller.launch(A)
+        self.one.read()
+        self.one.answer(A)
+        self.assertEqual(caller.read()["kind"], "running")
+        self.assertTrue(caller.silent(0.1))
+
+
+class Membership(PlatformCase):
+    def test_nothing_goes_to_an_exchange_once_it_is_told_to_drain_and_what_stands_there_is_heard(self):
+        caller = self.caller()
+        caller.launch(A)
+        self.one.read()
+        self.one.answer(A)
+        caller.read()
+        self.channel.tell(self.one.entry("Terminating"))
+        cursor = len(self.channel.events)
+        polls = self.channel.polls
+        until(lambda: self.channel.polls > polls and len(self.channel.events) == cursor, "the next poll")
+        caller.launch(B)
+        self.assertIn(caller.read()["reason"], (34, 42, 102))
+        self.one.release(A, 16)
+        self.assertEqual(caller.read()["uid"], A)
+        self.channel.tell(self.one.entry("Gone"))
+        self.assertIsNone(self.one.read())
+        self.program.wait_log("end role=exchange", "s-1", "code=let-go")
+
+    def test_what_stands_at_an_exchange_that_is_gone_is_released(self):
+        caller = self.caller()
+        caller.launch(A)
+        self.one.read()
+        self.one.answer(A)
+        caller.read()
+        self.channel.tell(self.one.entry("Gone"))
+        self.assertEqual(caller.read()["kind"], "stop")
+
+    def test_a_new_exchange_may_have_the_address_of_one_that_is_gone(self):
+        address = self.one.sock.getsockname()
+        self.channel.tell(self.one.entry("Gone"))
+        self.assertIsNone(self.one.read())
+        self.one.close()
+        new = self.exchange("s-9", 1, address)
+        self.channel.tell(new.entry(since=1), self.two.entry())
+        new.accept()
+        caller = self.caller()
+        caller.launch(A)
+        self.assertEqual(new.read()[:2], (1, A))
+
+    def test_the_test_is_answered_only_once_the_list_is_known(self):
+        self.channel.events.clear()
+        program = self.start(known=False)
+        caller = self.caller()
+        caller.send(kind="check", uid="", meta={}, reason=0)
+        self.assertTrue(caller.silent(0.3))
+        self.channel.tell(self.one.entry(), self.two.entry())
+        self.assertEqual((caller.read() or {}).get("reason"), 1)
+        self.assertEqual(program.logged("fault "), [])
+
+    def test_a_bad_entry_of_the_list_is_passed_over_and_logged(self):
+        self.channel.tell({"name": "s-7", "status": "Ready"}, {"address": 5}, self.two.entry("Terminating"))
+        self.program.wait_log("bad-endpoint")
+        caller = self.caller()
+        caller.launch(A)
+        self.assertEqual(self.one.read()[:2], (1, A))
+
+
+class BadInput(PlatformCase):
+    def ends_with(self, data, code):
+        caller = self.caller()
+        caller.sock.sendall(data)
+        self.assertIsNone(caller.read())
+        self.program.wait_log("end role=caller", f"code={code}")
+
+    def test_lines_that_cannot_be_read_close_their_connection_with_a_code(self):
+        for data in (b"\xff\xfe\n", b"[]\n", b"{}\n", b'{"kind":5}\n', b'{"kind":"launch","uid":"zz"}\n',
+                     b"[" * 9000 + b"\n", b'{"kind":"stop","uid":"00"}\n'):
+            self.program.lines.clear()
+            self.ends_with(data, "bad-line")
+        self.ends_with(b"x" * 20000, "long-line")
+        self.assertEqual(self.program.logged("fault "), [])
+
+    def test_a_set_up_with_bad_fields_is_failed_and_the_connection_goes_on(self):
+        caller = self.caller()
+        for meta in ({}, {"class": "nobody", "left": "1500"}, {"class": "rate-quote", "left": "nan"},
+                     {"class": "rate-quote", "left": "1e999", "extras": "dest:1"},
+                     {"class": "rate-quote", "left": "1500", "extras": "dest:inf"},
+                     {"class": "rate-quote", "left": "1500", "extras": "dest:1;width:-3"}, 7, None):
+            caller.send(kind="launch", uid=A, meta=meta, body="")
+            failed = caller.read()
+            self.assertEqual((failed["kind"], failed["uid"], failed["reason"]), ("stop", A, 41))
+        caller.sock.sendall(b'{"kind":"launch","uid":"%s","meta":{"class":"rate-quote","left":"900",'
+                            b'"extras":"dest:1"},"body":"\\ud800"}\n' % A.encode())
+        self.assertEqual(caller.read()["reason"], 41)
+        caller.send(kind="novelty", uid=A, meta={})
+        caller.launch(B, novelty="yes")
+        self.assertEqual(self.one.read()[:2], (1, B))
+
+    def test_frames_that_cannot_be_read_close_the_link_and_open_a_new_one(self):
+        for data in (b"\x00\x03abc", b"\x00\x0c\x09" + b"\x00" * 7 + b"\xa1\x3d\x00\x05", b"\xff\xff",
+                     b"\x00\x09\x0c" + b"\x00" * 8):
+            self.one.links[-1].sendall(data)
+            self.assertIsNone(self.one.read())
+            self.one.accept()
+        self.assertTrue(self.program.wait_log("end role=exchange", "code=bad-frame"))
+        self.program.wait_log("end role=exchange", "code=long-frame")
+        caller = self.caller()
+        caller.launch(A)
+        self.assertEqual(self.one.read()[:2], (1, A))
+
+
+class Leaving(PlatformCase):
+    def test_sigterm_accepts_on_answers_what_was_taken_and_ends_with_zero(self):
+        caller = self.caller()
+        caller.launch(A, left=2500)
+        self.one.read()
+        self.terminate()
+        self.program.wait_log("leaving ")
+        late = self.caller()
+        late.launch(B, left=2500)
+        self.one.read()
+        self.one.answer(A)
+        self.one.answer(B)
+        self.assertEqual((caller.read()["uid"], late.read()["uid"]), (A, B))
+        self.one.release(A, 16)
+        self.one.release(B, 16)
+        self.assertEqual((caller.read()["uid"], late.read()["uid"]), (A, B))
+        self.assertEqual(self.program.finish(), 0)
+        self.assertEqual(len(self.program.logged("end role=caller", "code=leaving")), 2)
+
+    def test_each_connection_leaves_one_line(self):
+        for _ in range(3):
+            self.caller().close()
+        until(lambda: len(self.program.logged("end role=caller", "peer-closed")) == 3, "three lines")
+        self.terminate()
+        self.assertEqual(self.program.finish(), 0)
+        self.assertEqual(len(self.program.logged("end role=exchange")), 2)
+        self.assertEqual(len(self.program.logged("end role=channel")), 1)
+
+    def test_a_bad_configuration_ends_the_program_and_names_the_key(self):
+        from .stand import Program
+        wrong = json.loads(json.dumps(SETTINGS))
+        del wrong["rules"]["cold_share"]
+        path = f"{self.folder.name}/bad.json"
+        for text, key in (("{", "configuration"), ("{}", "seed"), (json.dumps(
+                {"name": "n0", "listen": "127.0.0.1:0", "seed": "1", "channel": "127.0.0.1:1",
+                 "known": {"cursor": 0, "cmds": []}, "settings": wrong}), "settings.rules.cold_share")):
+            with open(path, "w") as file:
+                file.write(text)
+            program = Program({"EDGE_CONFIG": path})
+            self.addCleanup(program.close)
+            self.assertEqual(program.finish(), 2)
+            self.assertIn(key, "\n".join(program.lines))
+
+
+if __name__ == "__main__":
+    unittest.main()
