Add the SIP front, its legs and membership by Consul, off until the operator's file says so

A back-to-back user agent over UDP and TCP on the same reducer and module; the command channel and Consul share one HTTP client. Not yet proved by its own tests: these come next.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -1,4 +1,8 @@
-"""One real call controller: `python -m chutefork`, told by EDGE_CONFIG what it is."""
+"""One real call controller: `python -m chutefork`, told by EDGE_CONFIG what it is.
+
+The SIP front has a file of its own, `deploy/sip.toml` or what CHUTEFORK_SIP names; it may run without the
+platform's.
+"""
 
 from __future__ import annotations
 
@@ -6,13 +10,21 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from pathlib import Path
 
 from twisted.logger import globalLogBeginner
 
 from .config import Config, ConfigError, address_of, hubs_of, load
 from .core.reducer import State
+from .net.callers import CallerFront
+from .net.channel import Channel
 from .net.clock import TurnReactor, UnixPlace, install
 from .net.connection import log, log_failure
+from .net.driver import Driver
+from .net.exchanges import ExchangeLegs
+from .sip import settings as sip_settings
+from .sip.node import SipNode
 
 ACCEPT_S = 0.75  # after SIGTERM connections and requests go on coming for up to 0.6 s
 LONGEST_S = 3.0  # a deadline counts at most so long for the end after SIGTERM
@@ -22,11 +34,6 @@
     """The platform's front, legs and command channel round one core."""
 
     def __init__(self, config: Config, clock: TurnReactor) -> None:
-        from .net.callers import CallerFront
-        from .net.channel import Channel
-        from .net.driver import Driver
-        from .net.exchanges import ExchangeLegs
-
         self.clock = clock
         self.config = config
         self.place = UnixPlace()
@@ -37,12 +44,11 @@
         self.channel = Channel(config.channel, config.cursor, self.told, clock)
 
     def start(self) -> None:
+        self.legs.all_tried = self.front.be_ready
         self.told(self.config.known)
         self.channel.connect()
         host, port = self.config.listen
         self.port = self.clock.listenTCP(port, self.front.factory, backlog=512, interface=host)
-        self.legs.all_tried = self.front.be_ready
-        self.legs.settled()
         self.front.sweep()
         log(f"serving name={self.config.name} listen={host}:{self.port.getHost().port}")
 
@@ -52,50 +58,78 @@
             if event is not None:
                 self.driver.tell(event)
 
-    def terminate(self) -> None:
-        until = self.clock.now_us() + round((min(self.config.deadline_s, LONGEST_S) + 0.6) * 1e6)
-        log("leaving cause=SIGTERM")
+    def terminate(self, done: Callable[[], None]) -> None:
         self.front.leaving = True
-        self.clock.callLater(ACCEPT_S, self.leave, until)
+        until = self.clock.now_us() + round((min(self.config.deadline_s, LONGEST_S) + 0.6) * 1e6)
+        self.clock.callLater(ACCEPT_S, self.leave, until, done)
 
-    def leave(self, until: int) -> None:
+    def leave(self, until: int, done: Callable[[], None]) -> None:
         self.port.stopListening()
         left = len(self.front.owed) + len(self.front.standing)
         if left and self.clock.now_us() < until:
-            self.clock.callLater(0.02, self.leave, until)
+            self.clock.callLater(0.02, self.leave, until, done)
             return
         log(f"left unanswered={len(self.front.owed)} standing={len(self.front.standing)}")
         for connection in list(self.front.connections):
             connection.end("leaving")
-        self.part(self.clock.now_us() + 300_000)
+        self.part(self.clock.now_us() + 300_000, done)
 
-    def part(self, until: int) -> None:
+    def part(self, until: int, done: Callable[[], None]) -> None:
         """What was written last has still to go out."""
         if self.front.connections and self.clock.now_us() < until:
-            self.clock.callLater(0.01, self.part, until)
+            self.clock.callLater(0.01, self.part, until, done)
         else:
-            self.clock.stop()
+            done()
+
+
+def configured() -> tuple[Config | None, sip_settings.SipConfig | None]:
+    path = Path(os.environ.get("CHUTEFORK_SIP") or Path(__file__).parent.parent / "deploy" / "sip.toml")
+    sip_config = sip_settings.load(path)
+    if sip_config is not None and "EDGE_CONFIG" not in os.environ:
+        return None, sip_config
+    config = load(os.environ.get("EDGE_CONFIG", ""))
+    told = os.environ.get("EDGE_LISTEN")
+    if told is not None and address_of(told, "EDGE_LISTEN") != config.listen:
+        raise ConfigError("EDGE_LISTEN: differs from listen of EDGE_CONFIG")
+    return config, sip_config
 
 
 def main() -> int:
     try:
-        config = load(os.environ.get("EDGE_CONFIG", ""))
-        told = os.environ.get("EDGE_LISTEN")
-        if told is not None and address_of(told, "EDGE_LISTEN") != config.listen:
-            raise ConfigError("EDGE_LISTEN: differs from listen of EDGE_CONFIG")
+        config, sip_config = configured()
     except ConfigError as fault:
         print(f"chutefork: {fault}", file=sys.stderr)
         return 2
     globalLogBeginner.beginLoggingTo([log_failure], redirectStandardIO=False, discardBuffer=True)
     clock = install()
-    platform = Platform(config, clock)
+    parts: list[Platform | SipNode] = []
     try:
-        platform.start()
+        if config is not None:
+            parts.append(Platform(config, clock))
+        if sip_config is not None:
+            parts.append(SipNode(sip_config, clock))
+        for part in parts:
+            part.start()
     except Exception as fault:
         print(f"chutefork: {type(fault).__name__}: {fault}", file=sys.stderr)
         return 1
+    leaving: list[Platform | SipNode] = []
+
+    def done(part: Platform | SipNode) -> None:
+        leaving.remove(part)
+        if not leaving:
+            clock.stop()
+
+    def terminate() -> None:
+        if leaving:
+            return
+        log("leaving cause=SIGTERM")
+        leaving.extend(parts)
+        for part in parts:
+            part.terminate(lambda part=part: done(part))
+
     gc.freeze()
-    clock.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: clock.callFromThread(platform.terminate))
+    clock.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: clock.callFromThread(terminate))
     clock.run()
     return 0
 
--- a/chutefork/core/messages.py
+++ b/chutefork/core/messages.py
@@ -17,6 +17,7 @@
     BUSY = "the controller gave it up: trying again is harmless"
     LINES_BUSY = "all lines of the number are busy"
     NO_ANSWER = "no hub answered in time"
+    DEADLINE = "the caller's time was over before anything was tried"
     UNKNOWN_DESTINATION = "no hub serves that number"
     FAULT = "a fault on the way"
 
--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -128,7 +128,9 @@
         effects.append(m.Release(call_id, call.hub))
     outcome, reason = call.last or (api.Outcome.NOT_SENT, api.Reason.NONE)
     why = m.Why.BUSY
-    if reason is api.Reason.LINES_BUSY:
+    if call.last is None and now >= call.answer_by:
+        why = m.Why.DEADLINE
+    elif reason is api.Reason.LINES_BUSY:
         why = m.Why.LINES_BUSY
     elif outcome is api.Outcome.TIMEOUT:
         why = m.Why.NO_ANSWER
