--- a/chutefork/consul.py
+++ b/chutefork/consul.py
@@ -50,9 +50,11 @@
 
     def lost(self) -> None:
         self.stream = None
-        gap_s = min(RETRY_S[0] * 2 ** min(self.tries, 16), RETRY_S[1]) * random.uniform(1.0, 1.5)
+        self.clock.callLater(self.gap_s(), self.start)
+
+    def gap_s(self) -> float:
         self.tries += 1
-        self.clock.callLater(gap_s, self.start)
+        return min(RETRY_S[0] * 2 ** min(self.tries - 1, 16), RETRY_S[1]) * random.uniform(1.0, 1.5)
 
 
 class Watch(Asking):
@@ -75,10 +77,12 @@
         index, answer = int(headers["x-consul-index"]), json.loads(body)
         if not isinstance(answer, list):
             raise TypeError("a list is needed")
-        if index != self.index or index == 0:
+        if index <= 0:  # it would be asked for again without a pause
+            raise ValueError(f"X-Consul-Index {index}")
+        if index != self.index:
             self.told(answer)
         # An index that goes back means that Consul began anew: the next question must not wait on the old.
-        self.index = index if index >= self.index and index > 0 else 0
+        self.index = index if index >= self.index else 0
         self.tries = 0
         if self.stream is not None and not self.stream.code:
             self.ask()
@@ -96,17 +100,18 @@
         self.ready = ready
         self.registered = False
         self.leaving = False
-        self.busy = False
+        self.step = ""  # the question that is out
 
     def ask(self) -> None:
         """The next step: registered first, then passed each third of the TTL, taken back at the end."""
-        if self.stream is None or self.stream.code or self.busy:
+        if self.stream is None or self.stream.code or self.step:
             return
-        self.busy = True
         body = b""
         if self.leaving:
+            self.step = "leave"
             path = f"/v1/agent/service/deregister/{quote(self.id, safe='')}"
         elif not self.registered:
+            self.step = "register"
             path = "/v1/agent/service/register"
             ttl = f"{self.config.ttl_s:g}s"
             body = json.dumps({
@@ -115,32 +120,31 @@
                 "Check": {"CheckID": f"service:{self.id}", "TTL": ttl,
                           "DeregisterCriticalServiceAfter": "10m"}}).encode()
         else:
+            self.step = "check"
             result = "pass" if self.ready() else "warn"
             path = f"/v1/agent/check/{result}/{quote(f'service:{self.id}', safe='')}"
         self.stream.ask("PUT", path, SLACK_S, body, self.headers)
 
     def answered(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        self.busy = False
-        if self.leaving:
+        step, self.step = self.step, ""
+        if step == "leave":
             self.stopped = True
             self.stream.end("leaving")
             return
-        if status != 200 and not self.registered:
+        if step == "register" and status != 200:
             raise ValueError(f"status {status}")
-        if status != 200:  # the agent began anew and knows nothing of this program
-            log(f"note consul: check refused with {status}, registering again")
-            self.registered = False
-            self.ask()
-            return
-        self.tries = 0
-        first, self.registered = not self.registered, True
-        if first:
+        self.registered = status == 200
+        if self.leaving or step == "register":
             self.ask()
-        else:
+        elif status == 200:
+            self.tries = 0
             self.clock.callLater(self.config.ttl_s / 3, self.ask)
+        else:  # the agent began anew and knows nothing of this program; not asked again without a pause
+            log(f"note consul: check refused with {status}, registering again")
+            self.clock.callLater(self.gap_s(), self.ask)
 
     def lost(self) -> None:
-        self.busy = False
+        self.step = ""
         super().lost()
 
     def leave(self) -> None:
--- a/chutefork/sip/message.py
+++ b/chutefork/sip/message.py
@@ -141,7 +141,7 @@
     return address.parameters.get("tag") or ""
 
 
-def mark_via(request: Request, host: str, port: int) -> None:
+def mark_via(request: Request | Response, host: str, port: int) -> None:
     """RFC 3261 18.2.1 and RFC 3581: where the request really came from, on its topmost Via. The text is
     edited as it stands: written anew by the parser, a branch with rare characters would come back changed."""
     top = request.via[0]
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -188,6 +188,7 @@
         self.drop(f"{source.host}:{source.port}", str(fault))
         response = sip.answer_to_unreadable(data, fault.code)
         if response is not None:
+            sip.mark_via(response, source.host, source.port)
             self.send(bytes(response), source)
 
     def drop(self, peer: str, why: str) -> None:
