Refuse what is unanswered before the end, re-route stuck releases, outlive a fault in one event

A release that lies in the buffer of a caller that takes nothing goes by another connection when that one ends.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -16,6 +16,7 @@
 from twisted.logger import globalLogBeginner
 
 from .config import Config, ConfigError, address_of, hubs_of, load
+from .core.messages import Leave
 from .core.reducer import State
 from .net.callers import CallerFront
 from .net.channel import Channel
@@ -60,7 +61,7 @@
 
     def terminate(self, done: Callable[[], None]) -> None:
         self.front.leaving = True
-        until = self.clock.now_us() + round((min(self.config.deadline_s, LONGEST_S) + 0.6) * 1e6)
+        until = self.clock.now_us() + round((min(self.config.deadline_s, LONGEST_S) + 0.4) * 1e6)
         self.clock.callLater(ACCEPT_S, self.leave, until, done)
 
     def leave(self, until: int, done: Callable[[], None]) -> None:
@@ -70,9 +71,10 @@
             self.clock.callLater(0.02, self.leave, until, done)
             return
         log(f"left unanswered={len(self.front.owed)} standing={len(self.front.standing)}")
+        self.driver.tell(Leave())  # SIGKILL may be near: what has no answer by now is refused
         for connection in list(self.front.connections):
             connection.end("leaving")
-        self.part(self.clock.now_us() + 300_000, done)
+        self.part(self.clock.now_us() + 200_000, done)
 
     def part(self, until: int, done: Callable[[], None]) -> None:
         """What was written last has still to go out."""
@@ -123,13 +125,14 @@
     def terminate() -> None:
         if leaving:
             return
-        log("leaving cause=SIGTERM")
+        log("leaving cause=signal")
         leaving.extend(parts)
         for part in parts:
             part.terminate(lambda part=part: done(part))
 
     gc.freeze()
-    clock.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: clock.callFromThread(terminate))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        clock.callWhenRunning(signal.signal, number, lambda *_: clock.callFromThread(terminate))
     clock.run()
     return 0
 
--- a/chutefork/core/messages.py
+++ b/chutefork/core/messages.py
@@ -97,7 +97,12 @@
     """The time asked for with `WakeAt` has come."""
 
 
-Event = Arrival | Withdrawn | Stands | Ended | HubsListed | GroupTold | HubLost | Due
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The program is about to end: whatever is still owed an answer gets it now."""
+
+
+Event = Arrival | Withdrawn | Stands | Ended | HubsListed | GroupTold | HubLost | Due | Leave
 
 # ---- effects
 
--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -303,5 +303,12 @@
             _decide(state, api.Withdrawn(key), now, effects)
 
 
+def _on_leave(state: State, event: m.Leave, now: int, effects: list[m.Effect]) -> None:
+    for call in list(state.calls):
+        _finish(state, call, now, effects, refused=True, wait_s=state.settings.max_hold_off_s)
+        _decide(state, api.Withdrawn(call), now, effects)
+
+
 _HANDLERS = {m.Arrival: _on_arrival, m.Withdrawn: _on_withdrawn, m.Stands: _on_stands, m.Ended: _on_ended,
-             m.HubsListed: _on_hubs, m.GroupTold: _on_group, m.HubLost: _on_lost, m.Due: _on_due}
+             m.HubsListed: _on_hubs, m.GroupTold: _on_group, m.HubLost: _on_lost, m.Due: _on_due,
+             m.Leave: _on_leave}
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -42,6 +42,7 @@
         self.front = front
         self.clock = front.clock
         self.open: dict[int, str] = {}  # set-ups without their final answer: call -> uid as written
+        self.stuck: list[bytes] = []  # releases in the buffer of a peer that takes nothing
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
@@ -70,6 +71,11 @@
         else:
             self.front.stop(int(uid, 16))
 
+    def resumeProducing(self) -> None:  # noqa: N802
+        super().resumeProducing()
+        if not self.outward:
+            self.stuck.clear()
+
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         self.end("long-line", f"over {LONGEST} bytes")
 
@@ -168,6 +174,9 @@
         self.connections.pop(connection, None)
         for call in list(connection.open):
             self.stop(call)
+        stuck, connection.stuck = connection.stuck, []
+        for data in stuck:  # guards the end of calls against a caller's connection that took nothing more
+            self.release(data, None)
 
     # ---- effects
 
@@ -208,9 +217,13 @@
     def over(self, effect: m.Over) -> None:
         """On the set-up's own connection, else on any open one, else on the next that is made."""
         connection, uid = self.standing.pop(effect.call, (None, f"{effect.call:016x}"))
-        data = line_of("stop", uid, reason=FAILED if effect.cut else ENDED)
+        self.release(line_of("stop", uid, reason=FAILED if effect.cut else ENDED), connection)
+
+    def release(self, data: bytes, connection: CallerProtocol | None) -> None:
         for candidate in (connection, *reversed(self.connections)):
             if candidate in self.connections and candidate.push(data):
+                if candidate.held:
+                    candidate.stuck.append(data)
                 return
         if len(self.unsent) < MOST_UNSENT:
             self.unsent.append(data)
--- a/chutefork/net/connection.py
+++ b/chutefork/net/connection.py
@@ -22,8 +22,11 @@
 
 
 def log(text: str) -> None:
-    sys.stdout.write(text + "\n")
-    sys.stdout.flush()
+    try:
+        sys.stdout.write(text + "\n")
+        sys.stdout.flush()
+    except OSError:
+        pass  # nobody reads the log any more: no reason to stop serving
 
 
 def log_failure(event: dict) -> None:
--- a/chutefork/net/driver.py
+++ b/chutefork/net/driver.py
@@ -5,11 +5,15 @@
 from collections import deque
 from typing import Protocol
 
+from twisted.logger import Logger
+
 from ..core import messages as m
 from ..core.reducer import State, reduce
 from .clock import TurnReactor
 from .connection import log
 
+fault = Logger()
+
 
 class Front(Protocol):
     def answer(self, effect: m.Answer) -> None: ...
@@ -49,8 +53,14 @@
         self.busy = True
         try:
             while self.waiting:
-                for effect in reduce(self.state, self.waiting.popleft(), self.clock.now_us()):
-                    self.doers[type(effect)](effect)
+                event = self.waiting.popleft()
+                try:
+                    for effect in reduce(self.state, event, self.clock.now_us()):
+                        self.doers[type(effect)](effect)
+                except Exception:
+                    # Guards the calls of everybody else against a fault met in one: its own answer still
+                    # comes, by the timer that was set when it was taken.
+                    fault.failure("event {event!r}", event=type(event).__name__)
         finally:
             self.busy = False
 
--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -75,6 +75,8 @@
         self.link.flush()
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        if self.code:
+            return
         self.taken += 1
         self.heard_at = self.clock.now_us()
         try:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -137,6 +137,58 @@
         self.assertTrue(caller.silent(0.1))
 
 
+class Pressure(PlatformCase):
+    def test_a_silent_exchange_is_met_by_a_new_connection(self):
+        caller = self.caller()
+        caller.launch(A, left=2400)
+        self.one.read()
+        old = self.one.links[-1]
+        self.assertIn(caller.read()["reason"], (34, 42, 102))
+        self.assertEqual(self.one.read(old)[:2], (12, A))
+        self.one.accept()
+        self.assertIsNone(self.one.read(old))
+        self.program.wait_log("end role=exchange", "code=silent")
+        caller.launch(B)
+        self.assertEqual(self.one.read()[:2], (1, B))
+
+    def test_reading_pauses_while_a_caller_takes_nothing_and_nothing_is_lost(self):
+        caller = self.caller()
+        question = b'{"kind":"check","uid":"%s","meta":{},"reason":0}\n' % A.encode()
+        caller.sock.setblocking(False)
+        sent, rest = 0, b""
+        while select.select([], [caller.sock], [], 0.5)[1]:
+            rest = rest or question * 500
+            rest = rest[caller.sock.send(rest):]
+            sent += 0 if rest else 500
+        caller.sock.setblocking(True)
+        answers = 0
+        while answers < sent:
+            self.assertEqual(caller.read()["kind"], "checked")
+            answers += 1
+        self.assertGreater(sent, 10_000)
+
+    def test_releases_that_nobody_takes_end_their_connection_and_go_by_another(self):
+        caller, calls = self.caller(), [f"{number:016x}" for number in range(1, 3801)]
+        for uid in calls:
+            caller.launch(uid)
+            self.one.read()
+            self.one.answer(uid)
+            caller.read()
+        question = b'{"kind":"check","uid":"%s","meta":{},"reason":0}\n' % A.encode()
+        caller.sock.setblocking(False)
+        while select.select([], [caller.sock], [], 0.5)[1]:
+            caller.sock.send(question * 200)
+        other = self.caller()
+        other.send(kind="check", uid=A, meta={}, reason=0)
+        other.read()
+        for uid in calls:
+            self.one.release(uid, 16)
+        self.program.wait_log("end role=caller", "code=out-overflow")
+        ended = set()
+        while len(ended) < len(calls):
+            ended.add(other.read()["uid"])
+
+
 class Membership(PlatformCase):
     def test_nothing_goes_to_an_exchange_once_it_is_told_to_drain_and_what_stands_there_is_heard(self):
         caller = self.caller()
@@ -258,6 +310,16 @@
         self.assertEqual(self.program.finish(), 0)
         self.assertEqual(len(self.program.logged("end role=caller", "code=leaving")), 2)
 
+    def test_what_is_unanswered_shortly_before_sigkill_is_refused(self):
+        caller = self.caller()
+        caller.launch(A, left=9000)
+        self.one.read()
+        began = time.monotonic()
+        self.terminate()
+        self.assertIn(caller.read()["reason"], (34, 42, 102))
+        self.assertLess(time.monotonic() - began, 3.7)
+        self.assertEqual(self.program.finish(), 0)
+
     def test_each_connection_leaves_one_line(self):
         for _ in range(3):
             self.caller().close()
