--- a/chutefork/sip/settings.py
+++ b/chutefork/sip/settings.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from secrets import randbits
 
-import tomllib
-
 from ..config import ConfigError, Node, address_of, settings_of
 from ..interface import Settings
 
--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from twisted.logger import Logger
+
 from . import message as sip
 from .transport import SipTransport, Target
 
@@ -12,6 +14,9 @@
     from ..net.clock import TurnReactor
 
 
+fault = Logger()
+
+
 class Timing:
     def __init__(self, t1_s: float = 0.5, t2_s: float = 4.0, t4_s: float = 5.0) -> None:
         self.t1_s, self.t2_s, self.t4_s = t1_s, t2_s, t4_s
@@ -261,7 +266,12 @@
             return
         kind = InviteServer if message.method == "INVITE" else OtherServer
         server = self.servers[key] = kind(self, key, message, source)
-        self.requested(server)
+        try:
+            self.requested(server)
+        except Exception:
+            # guards the one final answer of a request in which a fault is met
+            fault.failure("request {method}", method=message.method)
+            server.respond(sip.response_to(message, 500, sip.tag()))
 
     def cancelled(self, cancel: sip.Request) -> InviteServer | None:
         server = self.servers.get(self.server_key(cancel, "INVITE"))
--- a/tests/sipstand.py
+++ b/tests/sipstand.py
@@ -6,13 +6,12 @@
 import socket
 import threading
 import time
+import tomllib
 import unittest
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from tempfile import TemporaryDirectory
 from urllib.parse import parse_qs, urlsplit
 
-import tomllib
-
 from .stand import PATIENCE_S, ROOT, Program, listener, until
 
 SDP = b"v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\n"
