Prove route sets, repeats, transit and both fronts at once; hold SIP sends back in the transport

Found by reading: an INVITE in the ring of a TCP connection that takes nothing could have gone out after its hub's drain; it waits in the transport now, where the drain takes it back. A request URI of scheme sips gets 416, as there is no TLS.

--- a/chutefork/sip/message.py
+++ b/chutefork/sip/message.py
@@ -39,7 +39,7 @@
     if re.search(rb" SIP/\d+\.\d+$", first) and not first.endswith(b" SIP/2.0"):
         raise BadMessage("another version of SIP", 505)
     scheme = re.match(rb"[A-Z]+ ([a-zA-Z][a-zA-Z0-9+.-]*):", first)
-    if scheme and scheme[1].lower() not in (b"sip", b"sips", b"tel"):
+    if scheme and scheme[1].lower() not in (b"sip", b"tel"):  # no TLS, so no sips
         raise BadMessage("a URI of another scheme", 416)
     try:
         message = Message.parse(head + b"\r\n\r\n" + body)
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -19,6 +19,7 @@
 HEAD_MOST = 32 * 1024
 BODY_MOST = 64 * 1024
 UDP_MOST = 1300  # a larger request goes by TCP (RFC 3261 18.1.1)
+MOST_WAITING = 1000  # messages for a connection that is being made, or takes nothing
 IDLE_US = 120_000_000
 SWEEP_S = 10.0
 DROP_LOG_US = 1_000_000  # what is dropped is logged at most so often
@@ -110,18 +111,27 @@
         refused = reason.check(error.ConnectionRefusedError) is not None
         log(f"end role=sip peer={self.key[0]}:{self.key[1]} code={'refused' if refused else 'unreached'}"
             " age_ms=0 in=0 out=0")
-        for _, failed in self.hub.waiting.pop(self.key, []):
-            if failed is not None:
-                failed()
+        self.hub.unsent(self.key)
 
 
 class _Outbound(SipStream):
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
         self.hub.outbound[self.key] = self
+        self.flush()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        super().resumeProducing()
+        self.flush()
+
+    def flush(self) -> None:
         for data, _ in self.hub.waiting.pop(self.key, []):
             self.push(data)
 
+    def lost(self) -> None:
+        super().lost()
+        self.hub.unsent(self.key)
+
 
 class _Datagrams(DatagramProtocol):
     noisy = False
@@ -212,15 +222,25 @@
                 return
         key = target.host, target.port
         stream = self.outbound.get(key)
-        if stream is not None and not stream.code:
+        usable = stream is not None and not stream.code
+        if usable and not stream.held:
             stream.used_at = self.clock.now_us()
             if stream.push(data):
                 return
-        first = key not in self.waiting
-        self.waiting.setdefault(key, []).append((data, failed))
-        if first:
+        waiting = self.waiting.setdefault(key, [])
+        if len(waiting) >= MOST_WAITING:
+            if failed is not None:
+                self.clock.callLater(0, failed)
+            return
+        waiting.append((data, failed))
+        if len(waiting) == 1 and not usable:  # a connection that takes nothing just now flushes later
             self.clock.connectTCP(*key, _Connector(self, key), timeout=self.connect_timeout_s)
 
+    def unsent(self, key: tuple[str, int]) -> None:
+        for _, failed in self.waiting.pop(key, []):
+            if failed is not None:
+                failed()
+
     def take_back(self, data: bytes, target: Target) -> bool:
         """Whether a message was still waiting for its connection; if so it is not sent."""
         waiting = self.waiting.get((target.host, target.port), [])
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -250,7 +250,7 @@
         self.addCleanup(made.close)
         return made
 
-    def start(self, known=True, settings=None):
+    def start(self, known=True, settings=None, env=None):
         self.listen = ("127.0.0.1", 0)
         config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
                   "channel": where(self.channel.sock), "settings": settings or SETTINGS,
@@ -258,7 +258,7 @@
                             "cmds": self.channel.events if known else []}}
         path = Path(self.folder.name) / "config.json"
         path.write_text(json.dumps(config))
-        program = Program({"EDGE_CONFIG": str(path), "EDGE_LISTEN": "127.0.0.1:0"})
+        program = Program({"EDGE_CONFIG": str(path), "EDGE_LISTEN": "127.0.0.1:0", **(env or {})})
         self.addCleanup(program.close)
         line = program.wait_log("serving ")[0]
         host, _, port = line.rpartition("listen=")[2].partition(":")
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -29,6 +29,16 @@
     assert modules <= {"__future__", "math", "random", "collections", "dataclasses", None}
 
 
+def test_the_core_knows_no_wire():
+    for path in (PACKAGE / "core").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = [node.module or ""] if isinstance(node, ast.ImportFrom) else (
+                [alias.name for alias in node.names] if isinstance(node, ast.Import) else [])
+            for name in names:
+                first = name.split(".")[0]
+                assert first not in {"twisted", "json", "sipmessage", "net", "sip", "config", "consul"}, path
+
+
 def test_the_readme_example_runs():
     blocks = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
     assert blocks
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -5,8 +5,8 @@
 import time
 import unittest
 
-from .sipstand import SDP, Consul, Peer, SipCase
-from .stand import ROOT, Program, until
+from .sipstand import SDP, Agent, Consul, Peer, SipCase
+from .stand import ROOT, PlatformCase, Program, until
 
 ANSWER = b"v=0\r\no=- 2 2 IN IP4 127.0.0.1\r\ns=hub\r\n"
 
@@ -236,6 +236,29 @@
             self.assertIn("received=127.0.0.1", answer.get("Via"))
         self.one.quiet(0.01)
 
+    def test_route_sets_and_sequence_numbers_of_both_dialogs(self):
+        tail = f";lr;transport={self.transport.lower()}"
+        routes = [f"<sip:127.0.0.1:{peer.address[1]}{tail}{part}>" for peer, part in (
+            (self.caller, ""), (self.one, ";p=1"), (self.one, ";p=2"))]
+        self.caller.invite(extra=(f"Record-Route: {routes[0]}",))
+        invite = self.one.expect("INVITE")
+        self.assertEqual(invite.all("Record-Route"), [])
+        self.one.reply(invite, 200, ANSWER, extra=(f"Record-Route: {routes[1]}, {routes[2]}",))
+        answer = self.caller.expect(200)
+        self.assertEqual(answer.all("Record-Route"), [routes[0]])
+        self.caller.within("ACK", answer)
+        ack = self.one.expect("ACK")
+        self.assertEqual(ack.all("Route"), [routes[2], routes[1]])
+        self.assertIn(f"sip:127.0.0.1:{self.one.address[1]}", ack.start)
+        self.caller.within("OPTIONS", answer, cseq=7)
+        self.caller.expect(200)
+        self.caller.within("OPTIONS", answer, cseq=6)
+        self.caller.expect(500)
+        self.consul.drop("hub-1")
+        bye = self.caller.expect("BYE")
+        self.assertEqual((bye.all("Route"), bye.get("CSeq")), ([routes[0]], "1 BYE"))
+        self.assertEqual(self.one.expect("BYE").all("Route"), [routes[2], routes[1]])
+
     def test_a_re_invite_leaves_the_session_and_a_bye_of_before_the_answer_ends_the_call(self):
         self.stand()
         self.caller.within("INVITE", self.answer)
@@ -282,6 +305,32 @@
         self.one.quiet(0.25)
         self.assertEqual(self.one.repeats, [])
 
+    def test_what_is_lost_is_repeated_until_its_answer_and_no_longer(self):
+        self.caller.invite()
+        invite = self.one.expect("INVITE")
+        self.one.again("INVITE")
+        self.one.again("INVITE")
+        self.one.reply(invite, 486)
+        self.one.expect("ACK")
+        self.one.reply(invite, 486)
+        self.one.again("ACK")
+        refusal = self.caller.expect(486)
+        self.caller.again(486)
+        self.caller.ack_refusal(refusal)
+        self.caller.quiet(0.05)
+        self.caller.repeats.clear()
+        self.caller.quiet(0.4)
+        self.assertEqual(self.caller.repeats, [])
+        self.stand()
+        self.caller.within("BYE", self.answer)
+        bye = self.one.expect("BYE")
+        self.one.again("BYE")
+        self.one.reply(bye, 200)
+        self.one.quiet(0.05)
+        self.one.repeats.clear()
+        self.one.quiet(0.4)
+        self.assertEqual(self.one.repeats, [])
+
     def test_a_request_too_large_for_a_datagram_goes_by_tcp(self):
         self.one.listen_too()
         body = SDP + b"a=x:" + b"y" * 1400 + b"\r\n"
@@ -337,6 +386,46 @@
         self.program.wait_log("end role=sip", "code=refused")
 
 
+class Transit(SipCase):
+    changes = {"peers = []": 'peers = ["127.0.0.1"]'}
+
+    def test_a_call_in_transit_from_a_peer_goes_to_its_destination_or_back(self):
+        self.caller.invite(extra=("X-Transit: 2",))
+        self.one.reply(self.one.expect("INVITE"), 503, extra=("Reason: Q.850;cause=34",))
+        self.one.expect("ACK")
+        self.caller.ack_refusal(self.caller.expect(503))
+        self.two.quiet()
+
+
+class BothFronts(PlatformCase):
+    def test_one_process_serves_both(self):
+        consul = Consul()
+        self.addCleanup(consul.close)
+        hub, caller = Peer("UDP"), Agent("UDP")
+        self.addCleanup(hub.close)
+        self.addCleanup(caller.close)
+        consul.put("hub-1", 1, hub)
+        path = f"{self.folder.name}/sip.toml"
+        with open(path, "w") as file:
+            file.write((ROOT / "deploy" / "sip.toml").read_text().replace("enabled = false", "enabled = true")
+                       .replace("127.0.0.1:5060", "127.0.0.1:0").replace(":8500", f":{consul.port}"))
+        program = self.start(env={"CHUTEFORK_SIP": path})
+        self.one.accept()
+        consul.asked(consul.index)
+        port = program.wait_log("serving-sip ")[0].rpartition(":")[2]
+        caller.connect(("127.0.0.1", int(port))).invite()
+        hub.reply(hub.expect("INVITE"), 200, ANSWER)
+        caller.within("ACK", caller.expect(200))
+        lines = self.caller()
+        lines.launch("00000000000000a1")
+        self.assertEqual(self.one.read()[:2], (1, "00000000000000a1"))
+        self.one.answer("00000000000000a1")
+        self.assertEqual(lines.read()["kind"], "running")
+        program.process.send_signal(signal.SIGTERM)
+        caller.reply(caller.expect("BYE"), 200)
+        self.assertEqual(program.finish(), 0)
+
+
 class Consuls(SipCase):
     def test_it_registers_itself_keeps_its_check_passing_and_leaves(self):
         until(lambda: any("/check/pass/" in path for path, _ in self.consul.puts), "a pass")
