Renew a link that the exchange may be about to close as idle

Read against PROTOCOL: exchanges close idle connections after the settings' time; a set-up that crossed such a close was reset and held back for the release wait (exchanges.py, set_up).

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -28,6 +28,7 @@
 REASONS = {"atb": Reason.NO_CIRCUIT, "rtb": Reason.TURNED_BACK, "racc": Reason.BEYOND_FULL,
            "acc": Reason.PROCESSOR_FULL, "sub": Reason.LINES_BUSY}
 SILENT_US = 2_000_000  # states of the group come far more often where anything goes on
+IDLE_SHARE = 0.9  # of the time after which exchanges close idle connections
 MOST_RELEASES = 10_000
 RETRY_US = (50_000, 200_000, 500_000, 1_000_000)  # gaps between tries to connect
 
@@ -57,7 +58,7 @@
 class ExchangeProtocol(Connection, Int16StringReceiver):
     role = "exchange"
     MAX_LENGTH = LONGEST
-    heard_at = 0
+    heard_at = wrote_at = 0
 
     def __init__(self, link: ExchangeLink) -> None:
         self.link = link
@@ -187,8 +188,20 @@
         if connection in self.old and not connection.open:
             connection.end("silent")
 
+    def renew(self) -> None:
+        """Guards against a set-up that crosses the exchange's close of an idle connection: it would be reset,
+        and the call held back for the release wait."""
+        old = self.connection
+        quiet_us = self.clock.now_us() - max(old.heard_at, old.wrote_at)
+        if quiet_us > IDLE_SHARE * self.legs.idle_close_s * 1e6 and not old.open:
+            self.connection = None
+            self.old.add(old)
+            old.end("renewed")
+
     def set_up(self, effect: m.SetUp) -> None:
         self.queue[effect.call] = effect, self.clock.now_us()
+        if self.connection is not None:
+            self.renew()
         if self.connection is not None:
             self.flush()
             return
@@ -207,6 +220,7 @@
             self.legs.driver.later(m.Ended(effect.call, self.hub.name, Outcome.NOT_SENT))
             return
         self.connection.open.add(effect.call)
+        self.connection.wrote_at = self.clock.now_us()
 
     def release(self, effect: m.Release) -> None:
         if self.queue.pop(effect.call, None) is not None:
@@ -245,11 +259,12 @@
 
 class ExchangeLegs:
     def __init__(self, driver: Driver, front: CallerFront, clock: TurnReactor,
-                 connect_timeout_s: float) -> None:
+                 connect_timeout_s: float, idle_close_s: float) -> None:
         self.driver = driver
         self.front = front
         self.clock = clock
         self.connect_timeout_s = connect_timeout_s
+        self.idle_close_s = idle_close_s
         self.links: dict[str, ExchangeLink] = {}
         self.all_tried: Callable[[], None] | None = None  # once, when every link has been up or has failed
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -151,6 +151,19 @@
         caller.launch(B)
         self.assertEqual(self.one.read()[:2], (1, B))
 
+    def test_a_connection_that_the_exchange_may_soon_close_is_renewed_before_a_set_up(self):
+        program = self.start(settings={**SETTINGS, "limits": {**SETTINGS["limits"], "idle_close_s": 0.5}})
+        old = self.one.accept()
+        self.two.accept()
+        began = time.monotonic()
+        until(lambda: time.monotonic() - began > 0.5, "an idle half second")
+        caller = self.caller()
+        caller.launch(A)
+        new = self.one.accept()
+        self.assertEqual(self.one.read(new)[:2], (1, A))
+        self.assertIsNone(self.one.read(old))
+        program.wait_log("end role=exchange", "s-1", "code=renewed")
+
     def test_reading_pauses_while_a_caller_takes_nothing_and_nothing_is_lost(self):
         caller = self.caller()
         question = b'{"kind":"check","uid":"%s","meta":{},"reason":0}\n' % A.encode()
