--- a/chutefork/consul.py
+++ b/chutefork/consul.py
@@ -182,7 +182,7 @@
             try:
                 hub = self.hub_of(item)
                 hubs[hub.name] = hub
-            except (ValueError, KeyError, TypeError, AttributeError) as fault:
+            except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as fault:
                 log(f"bad-endpoint detail={f'{type(fault).__name__}: {fault}'[:160]!r}")
         self.catalogue = hubs
         self.join()
--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -83,7 +84,7 @@
         try:
             kind, call, parameters = read_frame(string)
             self.link.heard(kind, call, parameters)
-        except (ValueError, struct.error) as fault:
+        except (ValueError, OverflowError, struct.error) as fault:
             self.end("bad-frame", str(fault))
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
@@ -254,7 +255,10 @@
             text = parameters.get(GROUP, b"").decode("ascii", "replace")
             figures = dict(part.split(":", 1) for part in text.split(";") if ":" in part)
             if "idle" in figures and "circuits" in figures:
-                tell(m.GroupTold(name, float(figures["idle"]), float(figures["circuits"])))
+                free, size = float(figures["idle"]), float(figures["circuits"])
+                if not (math.isfinite(free) and 0 <= size < math.inf):
+                    raise ValueError(f"state of a group {text[:40]!r}")
+                tell(m.GroupTold(name, free, size))
 
 
 class ExchangeLegs:
--- a/chutefork/net/http.py
+++ b/chutefork/net/http.py
@@ -124,7 +124,7 @@
         closing = self.headers.get("connection", "").lower() == "close"
         try:
             self.asker.answered(self.status, self.headers, b"".join(self.parts))
-        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as fault:
+        except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
             self.end("bad-answer", f"{type(fault).__name__}: {fault}")
             return
         if closing and not self.code:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -297,6 +297,10 @@
             self.one.links[-1].sendall(data)
             self.assertIsNone(self.one.read())
             self.one.accept()
+        for kind, values in ((43, ((43, b"idle:nan;circuits:5"),)), (12, ((58, b"\x22"), (40, b"inf")))):
+            self.one.send(kind, A, *values)
+            self.assertIsNone(self.one.read())
+            self.one.accept()
         self.assertTrue(self.program.wait_log("end role=exchange", "code=bad-frame"))
         self.program.wait_log("end role=exchange", "code=long-frame")
         caller = self.caller()
