--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -75,6 +75,8 @@
         self.driver.tell(Leave())  # SIGKILL may be near: what has no answer by now is refused
         for connection in list(self.front.connections):
             connection.end("leaving")
+        self.legs.leave()
+        self.channel.leave()
         self.part(self.clock.now_us() + 200_000, done)
 
     def part(self, until: int, done: Callable[[], None]) -> None:
--- a/chutefork/net/channel.py
+++ b/chutefork/net/channel.py
@@ -27,10 +27,12 @@
         self.told = told
         self.clock = clock
         self.tries = 0
+        self.stopped = False
         self.stream: HttpStream | None = None
 
     def connect(self) -> None:
-        connect(self, self.clock)
+        if not self.stopped:
+            connect(self, self.clock)
 
     def made(self, stream: HttpStream) -> None:
         self.stream = stream
@@ -52,8 +54,15 @@
         self.told(news)
         self.ask()
 
+    def leave(self) -> None:
+        self.stopped = True
+        if self.stream is not None:
+            self.stream.end("leaving")
+
     def lost(self) -> None:
         self.stream = None
+        if self.stopped:
+            return
         gap_s = RETRY_S[min(self.tries, len(RETRY_S) - 1)]
         self.tries += 1
         self.clock.callLater(gap_s, self.connect)
--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -189,6 +189,14 @@
         if connection in self.old and not connection.open:
             connection.end("silent")
 
+    def let_go(self, code: str) -> None:
+        if self.retry is not None:
+            self.retry.cancel()
+            self.retry = None
+        for connection in (self.connection, *self.old):
+            if connection is not None:
+                connection.end(code)
+
     def renew(self) -> None:
         """Guards against a set-up that crosses the exchange's close of an idle connection: it would be reset,
         and the call held back for the release wait."""
@@ -298,12 +306,13 @@
                 link.connect()
             return
         del self.links[effect.hub.name]
-        if link.retry is not None:
-            link.retry.cancel()
-            link.retry = None
-        for connection in (link.connection, *link.old):
-            if connection is not None:
-                connection.end("let-go")
+        link.let_go("let-go")
+
+    def leave(self) -> None:
+        for link in self.links.values():
+            link.wanted = False
+            link.let_go("leaving")
+        self.links.clear()
 
     def set_up(self, effect: m.SetUp) -> None:
         link = self.links.get(effect.hub)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -343,8 +343,9 @@
         until(lambda: len(self.program.logged("end role=caller", "peer-closed")) == 3, "three lines")
         self.terminate()
         self.assertEqual(self.program.finish(), 0)
-        self.assertEqual(len(self.program.logged("end role=exchange")), 2)
-        self.assertEqual(len(self.program.logged("end role=channel")), 1)
+        for role, lines in (("exchange", 2), ("channel", 1)):
+            self.assertEqual(len(self.program.logged(f"end role={role}", "code=leaving")), lines)
+            self.assertEqual(len(self.program.logged(f"end role={role}")), lines)
 
     def test_a_bad_configuration_ends_the_program_and_names_the_key(self):
         from .stand import Program
