Read the configuration anew on SIGHUP and move the command channel

Cause: no handler, the signal's default (__main__.py, main). The program now reads EDGE_CONFIG, moves the channel to its new address with the last number, and keeps every call and connection; a file that cannot be used is one log line. Before the loop runs and while leaving the signal is harmless.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 from twisted.logger import globalLogBeginner
@@ -54,6 +55,20 @@
         self.front.sweep()
         log(f"serving name={self.config.name} listen={host}:{self.port.getHost().port}")
 
+    def reload(self) -> None:
+        """The file anew: the command channel may have moved, and tells at its new address what came after
+        the last number. All that is open stays; what binds from the start (address, settings) is not read."""
+        try:
+            config = load(os.environ.get("EDGE_CONFIG", ""))
+        except ConfigError as fault:
+            log(f"reload kept=running detail={str(fault)[:160]!r}")
+            return
+        moved = config.channel != self.config.channel
+        log(f"reload channel={config.channel} moved={'yes' if moved else 'no'}")
+        self.config = replace(self.config, channel=config.channel)
+        if moved:
+            self.channel.move(config.channel)
+
     def told(self, commands: list) -> None:
         for command in commands:
             event = hubs_of(command, self.place)
@@ -100,6 +115,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # harmless until the configuration is in force
     try:
         config, sip_config = configured()
     except ConfigError as fault:
@@ -133,7 +149,13 @@
         for part in parts:
             part.terminate(lambda part=part: done(part))
 
+    def reload() -> None:
+        for part in parts:
+            if not leaving and isinstance(part, Platform):
+                part.reload()
+
     gc.freeze()
+    clock.callWhenRunning(signal.signal, signal.SIGHUP, lambda *_: clock.callFromThread(reload))
     for number in (signal.SIGTERM, signal.SIGINT):
         clock.callWhenRunning(signal.signal, number, lambda *_: clock.callFromThread(terminate))
     clock.run()
--- a/chutefork/config.py
+++ b/chutefork/config.py
@@ -137,10 +137,11 @@
 
 def load(path: str) -> Config:
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        return parse(Path(path).read_text(encoding="utf-8"))
     except OSError as fault:
         raise ConfigError(f"EDGE_CONFIG: {path!r} cannot be read: {fault.strerror}") from None
-    return parse(text)
+    except (ValueError, OverflowError, RecursionError) as fault:  # not UTF-8, a number like 1e999
+        raise ConfigError(f"configuration: not usable: {type(fault).__name__}: {fault}") from None
 
 
 STATES = {"Ready": api.SwitchState.READY, "Terminating": api.SwitchState.DRAINING,
@@ -149,9 +150,12 @@
 
 def hubs_of(command: dict, place: UnixPlace) -> m.HubsListed | None:
     """One event of the command channel as the core's; None where it is of a kind not known here."""
-    nodes = command.get("nodes")
+    nodes = command.get("nodes") if isinstance(command, dict) else ()
     if nodes is None:
         return None
+    if not isinstance(nodes, dict) or not isinstance(nodes.get("endpoints"), list):
+        log("bad-event detail='no list of endpoints'")
+        return None
     hubs = []
     for item in nodes["endpoints"]:
         try:
--- a/chutefork/net/http.py
+++ b/chutefork/net/http.py
@@ -4,12 +4,16 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from twisted.internet import error
 from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineReceiver
 
 from .connection import LONGEST, Connection, log
 
 if TYPE_CHECKING:
+    from twisted.internet.interfaces import IConnector
+    from twisted.python.failure import Failure
+
     from .clock import TurnReactor
 
 LARGEST = 4 * 1024 * 1024
@@ -150,11 +154,12 @@
     def buildProtocol(self, addr: object) -> HttpStream:  # noqa: N802
         return HttpStream(self.asker, self.clock)
 
-    def clientConnectionFailed(self, connector: object, reason: object) -> None:  # noqa: N802
-        log(f"end role={self.asker.role} peer={self.asker.address} code=unreached age_ms=0 in=0 out=0")
+    def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:  # noqa: N802
+        place, code = connector.getDestination(), "moved" if reason.check(error.UserError) else "unreached"
+        log(f"end role={self.asker.role} peer={place.host}:{place.port} code={code} age_ms=0 in=0 out=0")
         self.asker.lost()
 
 
-def connect(asker: Asker, clock: TurnReactor, timeout_s: float = 1.0) -> None:
+def connect(asker: Asker, clock: TurnReactor, timeout_s: float = 1.0) -> IConnector:
     host, _, port = asker.address.rpartition(":")
-    clock.connectTCP(host, int(port), _Connector(asker, clock), timeout=timeout_s)
+    return clock.connectTCP(host, int(port), _Connector(asker, clock), timeout=timeout_s)
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -256,9 +256,9 @@
                   "channel": where(self.channel.sock), "settings": settings or SETTINGS,
                   "known": {"cursor": len(self.channel.events) if known else 0,
                             "cmds": self.channel.events if known else []}}
-        path = Path(self.folder.name) / "config.json"
-        path.write_text(json.dumps(config))
-        program = Program({"EDGE_CONFIG": str(path), "EDGE_LISTEN": "127.0.0.1:0", **(env or {})})
+        self.config, self.path = config, Path(self.folder.name) / "config.json"
+        self.path.write_text(json.dumps(config))
+        program = Program({"EDGE_CONFIG": str(self.path), "EDGE_LISTEN": "127.0.0.1:0", **(env or {})})
         self.addCleanup(program.close)
         line = program.wait_log("serving ")[0]
         host, _, port = line.rpartition("listen=")[2].partition(":")
@@ -270,5 +270,12 @@
         self.addCleanup(made.close)
         return made
 
+    def reload(self, text):
+        """A new file in place of the old one, and the signal."""
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(text)
+        fresh.replace(self.path)
+        self.program.process.send_signal(signal.SIGHUP)
+
     def terminate(self):
         self.program.process.send_signal(signal.SIGTERM)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,7 +5,7 @@
 import time
 import unittest
 
-from .stand import SETTINGS, PlatformCase, until
+from .stand import SETTINGS, Channel, PlatformCase, listener, until, where
 
 A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
 
@@ -260,6 +260,64 @@
         self.assertEqual(self.one.read()[:2], (1, A))
 
 
+class Reload(PlatformCase):
+    def test_sighup_moves_the_command_channel_and_keeps_calls_and_connections(self):
+        caller = self.caller()
+        caller.launch(A, left=3000)
+        self.one.read()
+        new = Channel()
+        self.addCleanup(new.close)
+        new.events.extend(self.channel.events)
+        self.reload(json.dumps({**self.config, "channel": where(new.sock)}))
+        self.program.wait_log("end role=channel", "code=moved")
+        until(lambda: new.polls, "a question at the new address")
+        new.tell(self.two.entry("Gone"))
+        self.assertIsNone(self.two.read())
+        self.one.answer(A)
+        self.assertEqual((caller.read()["kind"], len(self.one.links)), ("running", 1))
+
+    def test_a_bad_file_leaves_the_running_configuration_in_force(self):
+        for text in ("{", "\ud800", json.dumps({**self.config, "channel": 5})):
+            self.program.lines.clear()
+            self.reload(text.encode("utf-8", "surrogatepass").decode("latin-1"))
+            self.program.wait_log("reload kept=running")
+        self.channel.tell(self.two.entry("Gone"))
+        self.assertIsNone(self.two.read())
+        self.reload("{")
+        self.terminate()
+        self.reload("{")
+        self.assertEqual(self.program.finish(), 0)
+
+
+class News(PlatformCase):
+    def answer_by_hand(self, *answers):
+        """A command channel whose answers are given byte for byte; each ends its connection, None stays mute.
+        The numbers asked for."""
+        sock = listener()
+        self.addCleanup(sock.close)
+        self.reload(json.dumps({**self.config, "channel": where(sock)}))
+        asked = []
+        for answer in answers:
+            link = sock.accept()[0]
+            self.addCleanup(link.close)
+            asked.append(link.recv(4096).split(b" ")[1].decode())
+            if answer is not None:
+                link.sendall(answer)
+                link.close()
+        return asked
+
+    def test_half_an_event_is_not_taken_and_a_mute_channel_is_asked_anew_soon(self):
+        body = json.dumps({"cursor": 2, "cmds": [{"cursor": 2, "nodes": {
+            "index": 2, "endpoints": [self.one.entry("Gone"), self.two.entry("Gone")]}}]}).encode()
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        began = time.monotonic()
+        asked = self.answer_by_hand(whole[:-60], None, b"", whole)
+        self.assertLess(time.monotonic() - began, 2.5)
+        self.assertEqual([item.split("?")[1].split("&")[0] for item in asked], ["resume=1"] * 4)
+        self.assertIsNone(self.one.read())
+        self.assertIsNone(self.two.read())
+
+
 class BadInput(PlatformCase):
     def ends_with(self, data, code):
         caller = self.caller()
