Give up mute or spoilt links and bound callers' connections, set-ups and turns

Checked in a trace of the sockets: an answer spoilt in its type byte (123) was passed over as a novelty (exchanges.py, heard), and its connection never brought anything again; noise in a description did end the link, but the spoilt answer's own call had by then left the list of open ones and waited for its time-out. On sound links frames lie 4 to 7 ms apart in the median and 0.18 s at most, so silence is told within 0.4 s. Releases of calls went to the newest connection, whoever had made it (callers.py, release). One client sent the same bad set-up 114 times a second, each answered and logged. An id used again after its end was never answered (reducer.py, _on_arrival), an unknown tenant was taken for the first one, numbers of hubs that were gone were kept for ever (reducer.py, switches, names). Ruled out: a lost wake-up or a full ring (no overflow in any log), the usual callers' connections (12, none ended by us). Now: a frame of an unknown type, an answer that is no text, or silence where something is owed ends the link; what is open there is settled at once and released on the next connection. Callers get three quarters of the descriptors, the least useful goes first; nothing usable within 2 s is closed; bad set-ups are answered, then their connection rests 0.25 s, and is closed at the eighth; 16 lines of a connection and 16 new connections a turn. The limits come from the configuration.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -53,6 +53,7 @@
         host, port = self.config.listen
         self.port = self.clock.listenTCP(port, self.front.factory, backlog=512, interface=host)
         self.front.sweep()
+        self.legs.watch()
         log(f"serving name={self.config.name} listen={host}:{self.port.getHost().port}")
 
     def reload(self) -> None:
--- a/chutefork/config.py
+++ b/chutefork/config.py
@@ -29,6 +29,8 @@
     connect_timeout_s: float
     deadline_s: float
     idle_close_s: float
+    sockets: int
+    memory_mb: float
 
 
 class Node:
@@ -124,6 +126,10 @@
     inner = root.node("settings")
     settings, class_names, tenant_names = settings_of(inner, seed)
     known = root.node("known")
+    limits = root.node("limits") if "limits" in root.value else Node({}, "limits")
+    for key in ("sockets", "memory_mb"):
+        if not limits.number(key, 192) > 0:
+            raise ConfigError(f"limits.{key}: not a limit")
     channel = root.text("channel")
     address_of(channel, "channel")
     return Config(
@@ -132,7 +138,8 @@
         class_names=class_names, tenant_names=tenant_names,
         connect_timeout_s=inner.node("limits").number("connect_timeout_s"),
         deadline_s=max(item.deadline_s for item in settings.classes),
-        idle_close_s=inner.node("limits").number("idle_close_s", 600.0))
+        idle_close_s=inner.node("limits").number("idle_close_s", 600.0),
+        sockets=int(limits.number("sockets", 1024)), memory_mb=limits.number("memory_mb", 192))
 
 
 def load(path: str) -> Config:
--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -52,6 +52,7 @@
     switches: dict[str, int] = field(default_factory=dict)
     timers: list[tuple[int, int, str, int, int]] = field(default_factory=list)
     sequence: int = 0
+    last_switch: int = 0  # numbers of hubs that are gone are not given again
     wake_at: int = 0
 
     @classmethod
@@ -97,7 +98,7 @@
     call = state.calls.get(action.call)
     name = state.names.get(action.switch)
     entry = state.hubs.get(name) if name is not None else None
-    if call is None or call.hub is not None or name is None:
+    if call is None or call.hub is not None:
         return
     if now < call.clear_at:  # guards the release wait, whatever the module asks for
         call.held = action
@@ -108,8 +109,8 @@
     if not sendable or call.attempts >= state.settings.max_attempts or wait_us <= 0:
         # guards against a set-up to a hub that drains or has gone since, and a seventh attempt
         call.attempts += 1
-        _end_attempt(state, action.call, call, name, api.Outcome.NOT_SENT, api.Reason.NONE, None, now,
-                     effects)
+        _end_attempt(state, action.call, call, action.switch, api.Outcome.NOT_SENT, api.Reason.NONE, None,
+                     now, effects)
         return
     call.attempts += 1
     call.hub, call.sent_at, call.held = name, now, None
@@ -145,22 +146,26 @@
         effects.append(m.Fail(call_id, why))
 
 
-def _end_attempt(state: State, call_id: int, call: Call, name: str, outcome: api.Outcome, reason: api.Reason,
-                 told_wait_us: int | None, now: int, effects: list[m.Effect]) -> None:
+def _end_attempt(state: State, call_id: int, call: Call, switch: int, outcome: api.Outcome,
+                 reason: api.Reason, told_wait_us: int | None, now: int, effects: list[m.Effect]) -> None:
     elapsed_s = (now - call.sent_at) / SECOND if call.hub is not None else 0.0
     call.hub = None
     call.last = outcome, reason
     if outcome in (api.Outcome.TIMEOUT, api.Outcome.CUT, api.Outcome.CANCELLED):
         call.clear_at = now + round(state.settings.release_s * SECOND) + RELEASE_MARGIN_US
     told_wait_s = None if told_wait_us is None else told_wait_us / SECOND
-    _decide(state, api.AttemptEnded(call_id, call.attempts - 1, state.switches[name], outcome, elapsed_s,
+    _decide(state, api.AttemptEnded(call_id, call.attempts - 1, switch, outcome, elapsed_s,
                                     False, reason, told_wait_s, None), now, effects)
 
 
 def _on_arrival(state: State, event: m.Arrival, now: int, effects: list[m.Effect]) -> None:
-    if event.call in state.calls or event.call in state.standing or event.call in state.finished:
+    if event.call in state.calls or event.call in state.standing:
         effects.append(m.Note(f"call {event.call:016x}: set up twice, the second is passed over"))
         return
+    if event.call in state.finished:
+        # guards against late answers to the first of that id, taken for answers to this one
+        effects.append(m.Refuse(event.call, 0, m.Why.BUSY))
+        return
     left_us = max(event.left_us - ANSWER_MARGIN_US, 0)
     state.calls[event.call] = Call(event, now + left_us)
     _timer(state, now + left_us, "answer", event.call)
@@ -196,7 +201,8 @@
 def _on_stands(state: State, event: m.Stands, now: int, effects: list[m.Effect]) -> None:
     call = state.calls.get(event.call)
     if call is None or call.hub != event.hub:
-        if state.standing.get(event.call) != event.hub:
+        known = event.call in state.finished or event.call in state.calls or event.call in state.standing
+        if known and state.standing.get(event.call) != event.hub:
             # guards against an answer that crossed our giving up: left alone, that call would stand unowned
             effects.append(m.Release(event.call, event.hub))
         return
@@ -212,8 +218,8 @@
     call = state.calls.get(event.call)
     if call is not None:
         if call.hub == event.hub:
-            _end_attempt(state, event.call, call, event.hub, event.outcome, event.reason, event.told_wait_us,
-                         now, effects)
+            _end_attempt(state, event.call, call, state.switches[event.hub], event.outcome, event.reason,
+                         event.told_wait_us, now, effects)
         return
     if state.standing.get(event.call) == event.hub:
         _unstand(state, event.call, event.hub, now)
@@ -230,8 +236,11 @@
     named = set()
     for hub in event.hubs:
         named.add(hub.name)
-        switch = state.switches.setdefault(hub.name, len(state.switches) + 1)
-        state.names[switch] = hub.name
+        switch = state.switches.get(hub.name)
+        if switch is None:
+            state.last_switch += 1
+            switch = state.switches[hub.name] = state.last_switch
+            state.names[switch] = hub.name
         entry = state.hubs.get(hub.name)
         if entry is None:
             entry = state.hubs[hub.name] = HubEntry(hub, switch)
@@ -255,9 +264,10 @@
         if entry.hub.state is api.SwitchState.GONE:
             for call_id, call in list(state.calls.items()):
                 if call.hub == name:
-                    _end_attempt(state, call_id, call, name, api.Outcome.CUT, api.Reason.NONE, None, now,
-                                 effects)
-            del state.hubs[name]
+                    _end_attempt(state, call_id, call, entry.switch, api.Outcome.CUT, api.Reason.NONE, None,
+                                 now, effects)
+            # hubs come and go all day under ever new names; what is not listed is not remembered
+            del state.hubs[name], state.switches[name], state.names[entry.switch]
 
 
 def _cut_all(state: State, entry: HubEntry, now: int, effects: list[m.Effect]) -> None:
@@ -296,7 +306,8 @@
         elif kind == "attempt" and call.hub is not None and call.attempts == serial:
             hub = call.hub
             effects.append(m.Release(key, hub))
-            _end_attempt(state, key, call, hub, api.Outcome.TIMEOUT, api.Reason.NONE, None, now, effects)
+            _end_attempt(state, key, call, state.switches[hub], api.Outcome.TIMEOUT, api.Reason.NONE, None,
+                         now, effects)
         elif kind == "answer":
             # guards against a call that the module lets lie: its caller is owed an answer before it leaves
             _finish(state, key, now, effects, refused=True)
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -10,7 +10,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from ..core import messages as m
-from .connection import LONGEST, Connection, log
+from .connection import LONGEST, UNPRINTED, Connection, log
 
 if TYPE_CHECKING:
     from ..config import Config
@@ -22,8 +22,17 @@
 NO_CIRCUIT = 34
 FAILED = 41
 ENDED = 16
-IDLE_US = 60_000_000  # callers close such a connection themselves after 4 s
-SWEEP_S = 5.0
+IDLE_US = 5_000_000  # callers close such a connection themselves after 4 s
+UNUSED_US = 2_000_000  # nothing usable by then: whoever connected is owed a word or a close within 3 s
+SWEEP_S = 0.5
+TURN = 16  # lines of one connection in one turn of the loop
+BAD_REST_S = 0.25  # after a set-up that cannot be taken its connection is not read for so long
+MOST_BAD = 8  # such set-ups on one connection
+MOST_OPEN = 512  # set-ups without an answer, on one connection
+CALLERS_SHARE = 3 / 4  # of the descriptors; the rest is for exchanges, the command channel and the program
+BUFFERS_SHARE = 1 / 4  # of the memory, for what waits to go out to callers
+LEFT_SLACK = 1.1  # a caller's time over the longest deadline of the settings
+FRAME_ROOM = 64  # what a set-up takes in a frame beside its texts
 MOST_CHECKS = 64
 MOST_UNSENT = 10_000
 
@@ -42,15 +51,51 @@
         self.front = front
         self.clock = front.clock
         self.open: dict[int, str] = {}  # set-ups without their final answer: call -> uid as written
+        self.waiting: dict[int, m.Arrival] = {}  # those of them that the core has not been told of yet
+        self.proven = False  # something usable has come
+        self.stood = 0  # calls that stood for it
+        self.bad = 0  # set-ups that could not be taken
+        self.turn_at = self.turn = 0  # lines taken in the present turn
         self.stuck: list[bytes] = []  # releases in the buffer of a peer that takes nothing
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
+        self.acted_at = self.made_at
         self.front.connections[self] = None
-        self.front.flush(self)
+        self.front.make_room(self)
+
+    def feed(self) -> None:
+        super().feed()
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        """Set-ups go on once what came with them is read: many that are taken back at once never leave."""
+        while self.waiting and not self.feeding and not self.code:
+            self.front.driver.tell(self.waiting.pop(next(iter(self.waiting))))
+
+    def push(self, data: bytes) -> bool:
+        if len(self.outward) + len(data) > self.front.share and self.front.buffered() > self.front.budget:
+            # guards the memory against many who take nothing: each beyond its share goes once all is in use
+            self.end("out-overflow", "memory for callers", at_once=True)
+        return super().push(data)
+
+    def struck(self, uid: str) -> None:
+        """Guards the loop against a peer that sends what cannot be taken, again and again: it has its answer,
+        and is read on after a rest; in the end its connection is closed."""
+        self.bad += 1
+        self.push(line_of("stop", uid, reason=FAILED))
+        if self.bad >= MOST_BAD:
+            self.end("bad-setups", f"{self.bad} set-ups that cannot be taken")
+        else:
+            self.rest(BAD_REST_S)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         self.taken += 1
+        now = self.clock.now_us()
+        self.turn = self.turn + 1 if self.turn_at == now else 1
+        self.turn_at = now
+        if self.turn >= TURN:  # guards the turns of the others against a flood on one connection
+            self.rest(0)
         try:
             record = json.loads(line)
             kind, uid = record["kind"], record.get("uid", "")
@@ -59,7 +104,9 @@
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as fault:
             self.end("bad-line", f"{type(fault).__name__}: {fault}")
             return
+        self.acted_at = now
         if kind == "check":
+            self.proven = True
             self.front.check(self, uid)
             return
         if kind not in ("launch", "stop"):
@@ -90,11 +137,17 @@
         self.classes = {name: place for place, name in enumerate(config.class_names)}
         self.tenants = {name: place for place, name in enumerate(config.tenant_names)}
         self.widths = [item.width_circuits for item in config.settings.classes]
+        self.most = max(round(config.sockets * CALLERS_SHARE), 1)
+        self.budget = round(config.memory_mb * 2**20 * BUFFERS_SHARE)
+        self.share = self.budget // self.most
+        self.longest_ms = config.deadline_s * 1000 * LEFT_SLACK
         self.connections: dict[CallerProtocol, None] = {}  # in the order of their making
         self.owed: dict[int, CallerProtocol] = {}  # set-ups: where the final answer goes
         self.standing: dict[int, tuple[CallerProtocol, str]] = {}
         self.unsent: list[bytes] = []  # releases for which no connection was open
         self.bodies: dict[int, tuple[str, str, str]] = {}  # class, number and description as given
+        hint_ms = round(config.settings.max_hold_off_s * 1000) if config.settings.hold_off_allowed else 0
+        self.hint = {"wait": str(hint_ms)} if hint_ms else {}  # where a caller has too many set-ups open
         self.ready = False
         self.leaving = False
         self.checks: list[tuple[CallerProtocol, str]] = []  # asked before this program was ready
@@ -116,26 +169,58 @@
 
     def sweep(self) -> None:
         """Guards against callers that vanish without a word: their descriptors would be held for ever."""
-        busy = {place[0] for place in self.standing.values()}
+        now, busy = self.clock.now_us(), {place[0] for place in self.standing.values()}
         for connection in list(self.connections):
-            if (not connection.open and connection not in busy
-                    and self.clock.now_us() - connection.used_at > IDLE_US):
+            if connection.open or connection.code:
+                continue
+            if not connection.proven and now - connection.made_at > UNUSED_US:
+                connection.end("unused")
+            elif connection not in busy and now - connection.acted_at > IDLE_US:
                 connection.end("idle")
         self.clock.callLater(SWEEP_S, self.sweep)
 
+    def buffered(self) -> int:
+        return sum(len(item.outward) for item in self.connections)
+
+    def make_room(self, newest: CallerProtocol) -> None:
+        """Guards the descriptors against connections by the hundred: of those with no set-up open the one
+        goes that matters least, first where nothing usable has come, then the longest idle. Those made in
+        this turn have not been read yet."""
+        if sum(not item.code for item in self.connections) <= self.most:
+            return
+        now, busy = self.clock.now_us(), {place[0] for place in self.standing.values()}
+        idle = (item for item in self.connections if not (item.open or item.code or item.made_at == now))
+        least = min(idle, key=lambda item: (item.proven, item in busy, item.acted_at), default=newest)
+        least.end("crowded", at_once=True)
+
     def launch(self, connection: CallerProtocol, call: int, uid: str, record: dict) -> None:
-        if call in self.owed or call in self.standing:
-            return  # a second set-up of one id: the first is the one that is answered
         try:
             arrival, passed = self.read(call, record)
+            first = self.owed.get(call) or self.standing.get(call, (None,))[0]
+            if first is connection and self.bodies.get(call) == passed:
+                return  # the same once more: the first is the one that is answered
+            if first is connection:
+                # one answer could not be told from the other's, nor from a release: both end here
+                connection.end("id-reused", f"uid {uid}")
+                return
+            if first is not None:
+                raise ValueError("the id is that of an open call")
         except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as fault:
-            log(f"bad-setup uid={uid} peer={connection.peer} detail={str(fault)[:120]!r}")
-            connection.push(line_of("stop", uid, reason=FAILED))
+            if not connection.bad:
+                log(f"bad-setup uid={uid} peer={connection.peer} detail={str(fault)[:120]!r}")
+            connection.struck(uid)
+            return
+        connection.proven = True
+        if self.unsent:
+            self.flush(connection)
+        if len(connection.open) >= MOST_OPEN:
+            connection.push(line_of("stop", uid, self.hint, reason=NO_CIRCUIT))
             return
         self.owed[call] = connection
         connection.open[call] = uid
         self.bodies[call] = passed
-        self.driver.tell(arrival)
+        connection.waiting[call] = arrival
+        connection.dispatch()
 
     def read(self, call: int, record: dict) -> tuple[m.Arrival, tuple[str, str, str]]:
         meta, body = record.get("meta"), record.get("body", "")
@@ -147,18 +232,29 @@
             raise ValueError(f"class {name!r} is not in the settings")
         place = self.classes[name]
         left_ms = float(meta["left"])
-        if not 0 <= left_ms <= 86_400_000:
+        if not 0 <= left_ms <= self.longest_ms:
             raise ValueError(f"left {left_ms!r} is out of range")
+        tenant = str(meta.get("tenant", ""))
+        if tenant not in self.tenants and (tenant or self.tenants):
+            raise ValueError(f"tenant {tenant!r} is not in the settings")
         key = str(meta.get("key", ""))
-        called = int(key, 16) if re.fullmatch(r"[0-9a-fA-F]{1,16}", key) else 0
+        if not re.fullmatch(r"[0-9a-fA-F]{1,16}", key):
+            raise ValueError(f"key {key[:20]!r} is not a number called")
         arrival = m.Arrival(
             call, place, float(extras.get("width", self.widths[place])), int(left_ms * 1000),
-            self.tenants.get(str(meta.get("tenant", "")), 0), called, int(float(extras["dest"])),
+            self.tenants.get(tenant, 0), int(key, 16), int(float(extras["dest"])),
             extras.get("transit") == "1", extras.get("again") == "1", False,
             int(float(extras.get("via", -1))))
         body.encode()  # a lone surrogate can be read as JSON and sent by nobody
-        if not 0 < arrival.width < 1e6:
-            raise ValueError(f"width {arrival.width!r} is out of range")
+        if arrival.width != self.widths[place]:
+            raise ValueError(f"width {arrival.width!r} is not the class's")
+        if arrival.destination < 0 or arrival.advice < -1:
+            raise ValueError("an exchange's number is out of range")
+        # guards the calls of others: an exchange closes its connection on a set-up that it cannot read
+        if not body or UNPRINTED.search(body):
+            raise ValueError("no description, or no text")
+        if len(name) + len(key) + len(body.encode()) + FRAME_ROOM > LONGEST:
+            raise ValueError("too long for an exchange")
         return arrival, (name, key, body)
 
     def stop(self, call: int) -> None:
@@ -166,6 +262,10 @@
         connection = self.owed.pop(call, None)
         if connection is not None:
             connection.open.pop(call, None)
+            connection.proven = True
+            if connection.waiting.pop(call, None) is not None:
+                self.bodies.pop(call, None)
+                return
         if connection is not None or self.standing.pop(call, None) is not None:
             self.bodies.pop(call, None)
             self.driver.tell(m.Withdrawn(call))
@@ -197,6 +297,7 @@
             place[0].push(line_of("stop", place[1], reason=FAILED))
         elif place[0].push(data):
             self.standing[effect.call] = place
+            place[0].stood += 1
             return
         self.driver.later(m.Withdrawn(effect.call))
 
@@ -215,12 +316,14 @@
             place[0].push(line_of("stop", place[1], reason=FAILED))
 
     def over(self, effect: m.Over) -> None:
-        """On the set-up's own connection, else on any open one, else on the next that is made."""
+        """On the set-up's own connection, else on the one that has carried most calls, else on the next that
+        brings a set-up: who only connects may be nobody's caller."""
         connection, uid = self.standing.pop(effect.call, (None, f"{effect.call:016x}"))
         self.release(line_of("stop", uid, reason=FAILED if effect.cut else ENDED), connection)
 
     def release(self, data: bytes, connection: CallerProtocol | None) -> None:
-        for candidate in (connection, *reversed(self.connections)):
+        used = sorted((item for item in self.connections if item.stood), key=lambda item: -item.stood)
+        for candidate in (connection, *used):
             if candidate in self.connections and candidate.push(data):
                 if candidate.held:
                     candidate.stuck.append(data)
--- a/chutefork/net/clock.py
+++ b/chutefork/net/clock.py
@@ -4,8 +4,20 @@
 
 import time
 
-from twisted.internet import main
+from twisted.internet import main, tcp
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.protocol import ServerFactory
+
+ACCEPTS = 16  # new connections a turn
+
+
+class BoundedPort(tcp.Port):
+    """Guards the descriptors, and the turns of those already there, against connections by the hundred: what
+    is not taken in this turn waits in the listener's queue, where it costs no descriptor."""
+
+    def doRead(self) -> None:  # noqa: N802 (Twisted's name)
+        self.numberAccepts = min(self.numberAccepts, ACCEPTS)
+        super().doRead()
 
 
 class TurnReactor(EPollReactor):
@@ -26,6 +38,13 @@
         super().doIteration(timeout)
 
 
+    def listenTCP(self, port: int, factory: ServerFactory, backlog: int = 50,  # noqa: N802
+                  interface: str = "") -> BoundedPort:
+        made = BoundedPort(port, factory, backlog, interface, self)
+        made.startListening()
+        return made
+
+
 def install() -> TurnReactor:
     reactor = TurnReactor()
     main.installReactor(reactor)
--- a/chutefork/net/connection.py
+++ b/chutefork/net/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import sys
 
 from twisted.internet import error
@@ -12,11 +13,11 @@
 from .ring import RingBuffer
 
 LONGEST = 16 * 1024  # a message
-IN_BOUND = 128 * 1024  # one read of the transport is 64 KiB
+CHUNK = 16 * 1024  # one read of the transport
+IN_BOUND = 4 * CHUNK
 OUT_BOUND = 256 * 1024
+UNPRINTED = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")  # what no text has
 OUT_HIGH = 64 * 1024  # reading pauses while more than this waits to go out
-CHUNK = 16 * 1024
-
 
 LINGER_S = 2.0  # what is queued has so long to go out once the connection is to end
 
@@ -54,7 +55,8 @@
     held = False  # the transport takes no more for now
     ended = False
     feeding = False
-    linger = None
+    linger = resting = None
+    paused = False  # nothing is read for now, so that others have their turn (LineReceiver's own name)
     taken = 0
     sent = 0
 
@@ -67,6 +69,7 @@
         if self.peer == "-":
             self.peer = f"{address.host}:{address.port}"
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = CHUNK
         self.transport.registerProducer(self, True)
         super().connectionMade()
 
@@ -82,12 +85,36 @@
             return
         self.feeding = True
         try:
-            while len(self.inward) and len(self.outward) <= OUT_HIGH and not self.code:
+            while len(self.inward) and self.reads():
                 super().dataReceived(self.inward.take(CHUNK))
         finally:
             self.feeding = False
-        if len(self.outward) > OUT_HIGH:
+        if not self.code and not self.reads():
+            self.transport.pauseProducing()
+
+    def reads(self) -> bool:
+        return not self.paused and len(self.outward) <= OUT_HIGH and not self.code
+
+    def rest(self, seconds: float) -> None:
+        """Reads nothing for so long. What was read and not looked at waits in its ring, what was not read in
+        the sender's machine."""
+        if not self.paused and not self.code:
+            self.paused = True
             self.transport.pauseProducing()
+            self.resting = self.clock.callLater(seconds, self.rested)
+
+    def rested(self) -> None:
+        self.paused = False
+        if self.ended or self.code:
+            return
+        self.feeding = True
+        try:
+            super().dataReceived(b"")  # lines that the receiver itself has kept back
+        finally:
+            self.feeding = False
+        self.feed()
+        if self.reads():
+            self.transport.resumeProducing()
 
     def push(self, data: bytes) -> bool:
         """Queues data to go out; overflow ends the connection."""
@@ -110,9 +137,10 @@
     def resumeProducing(self) -> None:  # noqa: N802
         self.held = False
         self.drain()
-        if len(self.outward) <= OUT_HIGH and not self.code:
-            self.transport.resumeProducing()
+        if self.reads():
             self.feed()
+        if self.reads():
+            self.transport.resumeProducing()
 
     def stopProducing(self) -> None:  # noqa: N802
         self.held = True
@@ -135,8 +163,9 @@
         if self.ended:
             return
         self.ended = True
-        if self.linger is not None and self.linger.active():
-            self.linger.cancel()
+        for timer in (self.linger, self.resting):
+            if timer is not None and timer.active():
+                timer.cancel()
         if not self.code:
             if reason.check(error.ConnectionDone):
                 self.code = "peer-closed"
--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -13,7 +13,7 @@
 
 from ..core import messages as m
 from ..interface import Outcome, Reason
-from .connection import LONGEST, Connection, log
+from .connection import LONGEST, UNPRINTED, Connection, log
 
 if TYPE_CHECKING:
     from .callers import CallerFront
@@ -21,6 +21,7 @@
     from .driver import Driver
 
 SETUP, PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, PASSED = 1, 6, 9, 12, 16, 43, 52, 53
+HARMLESS = {PROGRESS, HEARD, PASSED}
 CLASS, LEFT, NUMBER, NOTE, WAIT, GROUP, CAUSE, DESCRIPTION = 16, 19, 28, 37, 40, 43, 58, 61
 GIVEN_UP = 16
 
@@ -28,7 +29,9 @@
             41: Outcome.CUT, 16: Outcome.OK}
 REASONS = {"atb": Reason.NO_CIRCUIT, "rtb": Reason.TURNED_BACK, "racc": Reason.BEYOND_FULL,
            "acc": Reason.PROCESSOR_FULL, "sub": Reason.LINES_BUSY}
-SILENT_US = 2_000_000  # states of the group come far more often where anything goes on
+WATCH_S = 0.1  # how often the silence of the links is looked at
+QUIET_GAPS = 40  # so many mean gaps between frames are silence, where something is owed
+QUIET_US = (400_000, 1_500_000)  # but no less than this, and no more
 IDLE_SHARE = 0.9  # of the time after which exchanges close idle connections
 MOST_RELEASES = 10_000
 RETRY_US = (50_000, 200_000, 500_000, 1_000_000)  # gaps between tries to connect
@@ -39,6 +42,10 @@
     return struct.pack("!HBQ", 9 + len(body), kind, call) + body
 
 
+def release_of(call: int) -> bytes:
+    return frame_of(RELEASE, call, [(CAUSE, bytes([GIVEN_UP]))])
+
+
 def read_frame(data: bytes) -> tuple[int, int, dict[int, bytes]]:
     if len(data) < 9:
         raise ValueError(f"a message of {len(data)} bytes")
@@ -60,6 +67,8 @@
     role = "exchange"
     MAX_LENGTH = LONGEST
     heard_at = wrote_at = 0
+    gap_us = 0.0  # smoothed, between frames
+    seen_mute = False
 
     def __init__(self, link: ExchangeLink) -> None:
         self.link = link
@@ -72,6 +81,13 @@
         self.heard_at = self.made_at
         self.link.made(self)
 
+    def mute(self, now: int) -> bool:
+        """Longer without a frame than a sound connection ever is, states of the group among them."""
+        least, most = QUIET_US
+        if self.taken > QUIET_GAPS:
+            most = min(max(round(self.gap_us * QUIET_GAPS), least), most)
+        return now - self.heard_at > most << min(self.link.silences, 5)
+
     def resumeProducing(self) -> None:  # noqa: N802
         super().resumeProducing()
         self.link.flush()
@@ -80,7 +96,9 @@
         if self.code:
             return
         self.taken += 1
-        self.heard_at = self.clock.now_us()
+        now = self.clock.now_us()
+        self.gap_us += (now - self.heard_at - self.gap_us) / min(self.taken, 50)
+        self.heard_at = now
         try:
             kind, call, parameters = read_frame(string)
             self.link.heard(kind, call, parameters)
@@ -120,9 +138,9 @@
         self.connecting = False
         self.tries = 0
         self.retry = None
-        self.old: set[ExchangeProtocol] = set()  # silent ones that a new connection takes the place of
         self.queue: dict[int, tuple[m.SetUp, int]] = {}  # waiting for the connection: call -> set-up, since
         self.releases: list[bytes] = []
+        self.silences = 0  # connections in a row that were mute: in quiet hours there is little to hear
 
     def connect(self) -> None:
         self.retry = None
@@ -135,7 +153,7 @@
 
     def made(self, connection: ExchangeProtocol) -> None:
         self.connecting, self.tries, self.connection = False, 0, connection
-        self.legs.settled()
+        self.legs.tried()
         if not self.wanted or self.address != self.hub.address:
             connection.end("let-go")
             return
@@ -158,7 +176,7 @@
             log(f"end role=exchange peer={self.hub.name}@{self.hub.address}"
                 f" code={'refused' if refused else 'unreached'} age_ms=0 in=0 out=0")
         self.tries += 1
-        self.legs.settled()
+        self.legs.tried()
         waiting, self.queue = self.queue, {}
         if self.wanted and self.connection is None:
             gap_us = RETRY_US[min(self.tries, len(RETRY_US)) - 1]
@@ -166,36 +184,39 @@
         for call in waiting:
             self.legs.driver.tell(m.Ended(call, self.hub.name, Outcome.NOT_REACHED))
         if refused:
+            self.releases.clear()  # nothing stands at a process that is not there
             self.legs.driver.tell(m.HubLost(self.hub.name))
 
     def lost(self, connection: ExchangeProtocol) -> None:
-        self.old.discard(connection)
         if self.connection is connection:
             self.connection = None
             if self.wanted and self.retry is None and not self.connecting:
                 self.retry = self.clock.callLater(RETRY_US[0] / 1e6, self.connect)
         ended, connection.open = connection.open, set()
         for call in sorted(ended):
+            # guards against a call that stands there all the same, its answer spoilt or lost on the way
+            self.release_later(release_of(call))
             self.legs.driver.tell(m.Ended(call, self.hub.name, Outcome.CUT))
 
-    def doubt(self, connection: ExchangeProtocol) -> None:
-        """Guards against a peer that fell silent without a word: an attempt timed out there and nothing at
-        all has come since long before. What comes next goes by a new connection, which tells in half a
-        second whether anybody is there; the old one closes once nothing is open on it."""
-        if self.connection is connection and self.clock.now_us() - connection.heard_at > SILENT_US:
-            self.connection = None
-            self.old.add(connection)
-            self.connect()
-        if connection in self.old and not connection.open:
-            connection.end("silent")
+    def watch(self, now: int) -> None:
+        """Guards against a connection that stays open and is of no use any more: an answer broke off there,
+        or the machine is gone. What is open on it is settled at once; the next one tells whether anybody
+        is there. Seen mute twice, so that what has arrived meanwhile is read first."""
+        connection = self.connection
+        if connection is None:
+            return
+        owed = connection.open or self.legs.stands_at(self.hub.name)
+        was_mute, connection.seen_mute = connection.seen_mute, bool(owed) and connection.mute(now)
+        if was_mute and connection.seen_mute:
+            self.silences += 1
+            connection.end("silent", at_once=True)
 
     def let_go(self, code: str) -> None:
         if self.retry is not None:
             self.retry.cancel()
             self.retry = None
-        for connection in (self.connection, *self.old):
-            if connection is not None:
-                connection.end(code)
+        if self.connection is not None:
+            self.connection.end(code)
 
     def renew(self) -> None:
         """Guards against a set-up that crosses the exchange's close of an idle connection: it would be reset,
@@ -204,7 +225,6 @@
         quiet_us = self.clock.now_us() - max(old.heard_at, old.wrote_at)
         if quiet_us > IDLE_SHARE * self.legs.idle_close_s * 1e6 and not old.open:
             self.connection = None
-            self.old.add(old)
             old.end("renewed")
 
     def set_up(self, effect: m.SetUp) -> None:
@@ -234,29 +254,35 @@
     def release(self, effect: m.Release) -> None:
         if self.queue.pop(effect.call, None) is not None:
             return
-        data = frame_of(RELEASE, effect.call, [(CAUSE, bytes([GIVEN_UP]))])
-        own = next((item for item in (self.connection, *self.old) if item and effect.call in item.open), None)
-        carrier = own or self.connection
-        if (carrier is None or not carrier.push(data)) and len(self.releases) < MOST_RELEASES:
+        data = release_of(effect.call)
+        if self.connection is None or not self.connection.push(data):
+            self.release_later(data)
+        self.settled(effect.call)
+
+    def release_later(self, data: bytes) -> None:
+        if len(self.releases) < MOST_RELEASES:
             self.releases.append(data)
-        if own is not None:
-            own.open.discard(effect.call)
-            self.doubt(own)
+
+    def settled(self, call: int) -> None:
+        self.silences = 0
+        if self.connection is not None:
+            self.connection.open.discard(call)
 
     def heard(self, kind: int, call: int, parameters: dict[int, bytes]) -> None:
         tell, name = self.legs.driver.tell, self.hub.name
-        if kind in (ANSWER, RELEASE):
-            for connection in (self.connection, *self.old):
-                if connection is not None:
-                    connection.open.discard(call)
         if kind == ANSWER:
-            tell(m.Stands(call, name, parameters.get(DESCRIPTION, b"").decode("utf-8")))
+            description = parameters.get(DESCRIPTION, b"").decode("utf-8")
+            if not description or UNPRINTED.search(description):  # guards callers against a spoilt answer
+                raise ValueError("an answer whose description is no text")
+            self.settled(call)
+            tell(m.Stands(call, name, description))
         elif kind == RELEASE:
             cause = parameters.get(CAUSE, b"")
             if len(cause) != 1:
                 raise ValueError("a release without its cause")
             note, wait = parameters.get(NOTE, b"").decode("ascii", "replace"), parameters.get(WAIT)
             wait_us = int(float(wait) * 1000) if wait else None
+            self.settled(call)
             tell(m.Ended(call, name, OUTCOMES.get(cause[0], Outcome.ERROR), REASONS.get(note, Reason.NONE),
                          wait_us))
         elif kind == STATE:
@@ -267,6 +293,9 @@
                 if not (math.isfinite(free) and 0 <= size < math.inf):
                     raise ValueError(f"state of a group {text[:40]!r}")
                 tell(m.GroupTold(name, free, size))
+        elif kind not in HARMLESS:
+            # guards against a spoilt frame taken for a novelty: nothing more came on such connections
+            raise ValueError(f"a message of type {kind}")
 
 
 class ExchangeLegs:
@@ -280,7 +309,16 @@
         self.links: dict[str, ExchangeLink] = {}
         self.all_tried: Callable[[], None] | None = None  # once, when every link has been up or has failed
 
-    def settled(self) -> None:
+    def watch(self) -> None:
+        for link in list(self.links.values()):
+            link.watch(self.clock.now_us())
+        self.clock.callLater(WATCH_S, self.watch)
+
+    def stands_at(self, hub: str) -> bool:
+        entry = self.driver.state.hubs.get(hub)
+        return entry is not None and bool(entry.standing)
+
+    def tried(self) -> None:
         waiting = any(item.connection is None and not item.tries for item in self.links.values())
         if self.links and not waiting and self.all_tried is not None:
             self.all_tried()
