Go direct first again after a cut attempt; bound the SIP front like the other

Also: a machine unreached and unheard for 6 s has what stood there released (exchanges.py, failed), set-ups and descriptions are bounded by the memory of the configuration (callers.py), SIP connections by the file's sockets (sip/transport.py).

--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -32,6 +32,8 @@
 CALLERS_SHARE = 3 / 4  # of the descriptors; the rest is for exchanges, the command channel and the program
 BUFFERS_SHARE = 1 / 4  # of the memory, for what waits to go out to callers
 LEFT_SLACK = 1.1  # a caller's time over the longest deadline of the settings
+OWED_PER_MB = 50  # set-ups without an answer, on all connections, a megabyte of the memory
+BODIES_SHARE = 1 / 8  # of the memory, for their descriptions
 FRAME_ROOM = 64  # what a set-up takes in a frame beside its texts
 MOST_CHECKS = 64
 MOST_UNSENT = 10_000
@@ -146,6 +148,8 @@
         self.standing: dict[int, tuple[CallerProtocol, str]] = {}
         self.unsent: list[bytes] = []  # releases for which no connection was open
         self.bodies: dict[int, tuple[str, str, str]] = {}  # class, number and description as given
+        self.body_room = round(config.memory_mb * 2**20 * BODIES_SHARE)
+        self.most_owed = round(config.memory_mb * OWED_PER_MB)
         hint_ms = round(config.settings.max_hold_off_s * 1000) if config.settings.hold_off_allowed else 0
         self.hint = {"wait": str(hint_ms)} if hint_ms else {}  # where a caller has too many set-ups open
         self.ready = False
@@ -213,12 +217,14 @@
         connection.proven = True
         if self.unsent:
             self.flush(connection)
-        if len(connection.open) >= MOST_OPEN:
+        if (len(connection.open) >= MOST_OPEN or len(self.owed) >= self.most_owed
+                or len(passed[2]) > self.body_room):  # guards the memory against set-ups by the thousand
             connection.push(line_of("stop", uid, self.hint, reason=NO_CIRCUIT))
             return
         self.owed[call] = connection
         connection.open[call] = uid
         self.bodies[call] = passed
+        self.body_room -= len(passed[2])
         connection.waiting[call] = arrival
         connection.dispatch()
 
@@ -263,11 +269,10 @@
         if connection is not None:
             connection.open.pop(call, None)
             connection.proven = True
+            self.forget(call)
             if connection.waiting.pop(call, None) is not None:
-                self.bodies.pop(call, None)
                 return
         if connection is not None or self.standing.pop(call, None) is not None:
-            self.bodies.pop(call, None)
             self.driver.tell(m.Withdrawn(call))
 
     def lost(self, connection: CallerProtocol) -> None:
@@ -278,9 +283,14 @@
         for data in stuck:  # guards the end of calls against a caller's connection that took nothing more
             self.release(data, None)
 
+    def forget(self, call: int) -> None:
+        passed = self.bodies.pop(call, None)
+        self.body_room += len(passed[2]) if passed is not None else 0
+
     # ---- effects
 
     def settle(self, call: int) -> tuple[CallerProtocol, str] | None:
+        self.forget(call)
         connection = self.owed.pop(call, None)
         if connection is None:
             return None
@@ -288,7 +298,6 @@
 
     def answer(self, effect: m.Answer) -> None:
         place = self.settle(effect.call)
-        self.bodies.pop(effect.call, None)
         if place is None:
             return
         data = line_of("running", place[1], body=effect.description)
@@ -303,7 +312,6 @@
 
     def refuse(self, effect: m.Refuse) -> None:
         place = self.settle(effect.call)
-        self.bodies.pop(effect.call, None)
         if place is not None:
             meta = {"wait": str(effect.wait_us // 1000)} if effect.wait_us > 0 else {}
             cause = NO_CIRCUIT if effect.why is m.Why.BUSY else REFUSED
@@ -311,7 +319,6 @@
 
     def fail(self, effect: m.Fail) -> None:
         place = self.settle(effect.call)
-        self.bodies.pop(effect.call, None)
         if place is not None:
             place[0].push(line_of("stop", place[1], reason=FAILED))
 
--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -30,6 +30,7 @@
 REASONS = {"atb": Reason.NO_CIRCUIT, "rtb": Reason.TURNED_BACK, "racc": Reason.BEYOND_FULL,
            "acc": Reason.PROCESSOR_FULL, "sub": Reason.LINES_BUSY}
 WATCH_S = 0.1  # how often the silence of the links is looked at
+GONE_US = 6_000_000  # unreached and unheard for so long: what stood there is over
 QUIET_GAPS = 40  # so many mean gaps between frames are silence, where something is owed
 QUIET_US = (400_000, 1_500_000)  # but no less than this, and no more
 IDLE_SHARE = 0.9  # of the time after which exchanges close idle connections
@@ -98,7 +99,7 @@
         self.taken += 1
         now = self.clock.now_us()
         self.gap_us += (now - self.heard_at - self.gap_us) / min(self.taken, 50)
-        self.heard_at = now
+        self.heard_at = self.link.heard_at = now
         try:
             kind, call, parameters = read_frame(string)
             self.link.heard(kind, call, parameters)
@@ -140,6 +141,7 @@
         self.retry = None
         self.queue: dict[int, tuple[m.SetUp, int]] = {}  # waiting for the connection: call -> set-up, since
         self.releases: list[bytes] = []
+        self.heard_at = self.clock.now_us()
         self.silences = 0  # connections in a row that were mute: in quiet hours there is little to hear
 
     def connect(self) -> None:
@@ -183,8 +185,10 @@
             self.retry = self.clock.callLater(gap_us / 1e6, self.connect)
         for call in waiting:
             self.legs.driver.tell(m.Ended(call, self.hub.name, Outcome.NOT_REACHED))
+        gone = refused or self.clock.now_us() - self.heard_at > GONE_US
         if refused:
             self.releases.clear()  # nothing stands at a process that is not there
+        if gone:  # a machine that sends nothing cannot tell of the ends of its calls: their callers are told
             self.legs.driver.tell(m.HubLost(self.hub.name))
 
     def lost(self, connection: ExchangeProtocol) -> None:
--- a/chutefork/rules.py
+++ b/chutefork/rules.py
@@ -88,6 +88,7 @@
     answer_by: float
     attempts: int = 0
     out: Far | None = None  # the far exchange whose answer is awaited
+    blocked: bool = False  # an attempt came back for want of room or by a fault, not cut on its way
     late: bool = False  # past its aim on arrival, by the caller's earlier tries
     worth: float = 0.0
 
@@ -223,7 +224,7 @@
                 self.overflow(now, call_id, call)
             else:
                 self.refuse(call_id)
-        elif self.has_room(dest, arrival, self.reserve(dest) if call.late else 0.0) and call.attempts == 0:
+        elif self.has_room(dest, arrival, self.reserve(dest) if call.late else 0.0) and not call.blocked:
             self.send(now, call_id, call, dest)
         else:
             self.overflow(now, call_id, call)
@@ -353,7 +354,9 @@
     def on_withdrawn(self, now: float, event: api.Withdrawn) -> None:
         call = self.calls.pop(event.call, None)
         if call is not None and call.out is not None:
-            self.settle(now, event.call, call, call.out.switch, failed=True, answered=False)
+            # taken back sooner than a processor may take: nothing was learnt of it
+            waited = now - call.out.out.get(event.call, now) > self.bound_s
+            self.settle(now, event.call, call, call.out.switch, failed=waited, answered=False)
 
     def on_ended(self, now: float, event: api.AttemptEnded) -> None:
         self.on_load(now, event)
@@ -373,6 +376,7 @@
             return
         far = self.far.get(event.switch, call.out)
         call.out = None
+        call.blocked |= event.outcome is not api.Outcome.CUT
         if far.number != call.arrival.destination:
             length_s = self.settings.classes[call.arrival.class_index].length_s
             # No way round by the same tandem while two roots of its circuits clear, the spread either way:
@@ -383,6 +387,7 @@
             if event.switch == self.tandems.get(call.arrival.destination):
                 del self.tandems[call.arrival.destination]
         if event.outcome in (api.Outcome.TIMEOUT, api.Outcome.CUT, api.Outcome.CANCELLED):
+            # a connection that broke says nothing of the route: direct first once more
             self.wait_release(now, event.call, call)
         elif (event.outcome in (api.Outcome.NOT_SENT, api.Outcome.NOT_SET_UP, api.Outcome.NOT_REACHED)
               and event.reason in (api.Reason.NO_CIRCUIT, api.Reason.NONE) and not call.arrival.in_transit
--- a/chutefork/sip/front.py
+++ b/chutefork/sip/front.py
@@ -19,6 +19,7 @@
 
 CODES = {m.Why.BUSY: 503, m.Why.LINES_BUSY: 486, m.Why.NO_ANSWER: 504, m.Why.DEADLINE: 408,
          m.Why.UNKNOWN_DESTINATION: 404, m.Why.FAULT: 500}
+MOST_OWED = 4000  # INVITEs without their answer
 TRANSIT = "X-Transit"  # on a call sent round by us: the number of the exchange that it comes from
 
 
@@ -131,7 +132,7 @@
 
     def invited(self, server: ServerTransaction) -> None:
         request = server.request
-        if self.leaving:
+        if self.leaving or len(self.owed) >= MOST_OWED:
             self.agent.refuse(server, 503, (("Retry-After", "5"),))
             return
         same = request.call_id, sip.tag_of(request.from_address), request.cseq.sequence
--- a/chutefork/sip/node.py
+++ b/chutefork/sip/node.py
@@ -26,7 +26,7 @@
         self.config = config
         self.clock = clock
         self.driver = Driver(State.fresh(config.settings), clock)
-        self.transport = SipTransport(clock, config.listen, config.connect_timeout_s)
+        self.transport = SipTransport(clock, config.listen, config.connect_timeout_s, config.sockets)
         self.agent = SipAgent(self.transport, clock, Timing(config.t1_s), config.advertise)
         self.legs = SipLegs(self.driver, self.agent, config)
         self.front = SipFront(self.driver, self.agent, config, self.legs)
--- a/chutefork/sip/settings.py
+++ b/chutefork/sip/settings.py
@@ -41,6 +41,7 @@
     consul: ConsulConfig
     settings: Settings
     connect_timeout_s: float
+    sockets: int
 
     def route(self, number: str) -> Route | None:
         """The longest prefix that fits."""
@@ -75,6 +76,9 @@
     for key, value in (("t1_ms", t1_ms), ("trying_ms", trying_ms)):
         if not 0 < value <= 60_000:
             raise ConfigError(f"{key}: must lie above 0 and at most 60000, is {value!r}")
+    sockets = root.number("sockets", 1024)
+    if not 16 <= sockets <= 1_000_000:
+        raise ConfigError(f"sockets: must lie between 16 and 1000000, is {sockets!r}")
     advertise = root.text("advertise", "")
     if advertise:
         address_of(advertise, "advertise")
@@ -94,4 +98,5 @@
         t1_s=t1_ms / 1000, trying_s=trying_ms / 1000, peers=frozenset(peers), routes=tuple(routes),
         consul=ConsulConfig(address, consul.text("service"), consul.text("register", ""), ttl_s, wait_s,
                             consul.text("token", "")),
-        settings=settings, connect_timeout_s=inner.node("limits").number("connect_timeout_s"))
+        settings=settings, connect_timeout_s=inner.node("limits").number("connect_timeout_s"),
+        sockets=int(sockets))
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -21,7 +21,9 @@
 UDP_MOST = 1300  # a larger request goes by TCP (RFC 3261 18.1.1)
 MOST_WAITING = 1000  # messages for a connection that is being made, or takes nothing
 IDLE_US = 120_000_000
-SWEEP_S = 10.0
+UNUSED_US = 5_000_000  # who connected and brought no message by then is let go
+STREAMS_SHARE = 3 / 4  # of the descriptors, for connections that others made
+SWEEP_S = 1.0
 DROP_LOG_US = 1_000_000  # what is dropped is logged at most so often
 LENGTH = re.compile(rb"(?:content-length|l)[ \t]*:[ \t]*(\d{1,9})[ \t]*\Z", re.I)
 
@@ -52,6 +54,8 @@
         peer = self.transport.getPeer()
         self.remote = peer.host, peer.port
         self.hub.streams[self] = None
+        if self.key is None:
+            self.hub.make_room(self)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         if line:
@@ -145,8 +149,10 @@
 
 
 class SipTransport:
-    def __init__(self, clock: TurnReactor, listen: tuple[str, int], connect_timeout_s: float) -> None:
+    def __init__(self, clock: TurnReactor, listen: tuple[str, int], connect_timeout_s: float,
+                 sockets: int) -> None:
         self.clock = clock
+        self.most = max(round(sockets * STREAMS_SHARE), 1)
         self.host, self.port = listen
         self.connect_timeout_s = connect_timeout_s
         self.streams: dict[SipStream, None] = {}
@@ -178,11 +184,23 @@
 
     def sweep(self) -> None:
         """Guards against peers that vanish without a word: their descriptors would be held for ever."""
+        now = self.clock.now_us()
         for stream in list(self.streams):
-            if self.clock.now_us() - stream.used_at > IDLE_US:
+            if now - stream.used_at > IDLE_US:
                 stream.end("idle")
+            elif stream.key is None and not stream.taken and now - stream.made_at > UNUSED_US:
+                stream.end("unused")
         self.clock.callLater(SWEEP_S, self.sweep)
 
+    def make_room(self, newest: SipStream) -> None:
+        """Guards the descriptors against connections by the hundred: the one without a message goes first,
+        then the longest idle. A dialog outlives its connection."""
+        others = [item for item in self.streams if item.key is None and not item.code]
+        if len(others) > self.most:
+            idle = (item for item in others if item.made_at != self.clock.now_us())
+            least = min(idle, key=lambda item: (item.taken > 0, item.used_at), default=newest)
+            least.end("crowded", at_once=True)
+
     def take(self, data: bytes, source: Target) -> None:
         try:
             message = sip.parse(data)
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -1,5 +1,6 @@
 """The real program as a process, and the callers, exchanges and command channel that it talks to."""
 
+import contextlib
 import json
 import os
 import select
@@ -106,6 +107,7 @@
         self.name, self.number = name, number
         self.sock = listener(address)
         self.links = []
+        self.sending = threading.Lock()
 
     def accept(self):
         link = self.sock.accept()[0]
@@ -139,7 +141,17 @@
 
     def send(self, kind, uid, *values, link=None):
         body = b"".join(struct.pack("!BH", code, len(value)) + value for code, value in values)
-        (link or self.links[-1]).sendall(struct.pack("!HBQ", 9 + len(body), kind, int(uid, 16)) + body)
+        with self.sending:
+            (link or self.links[-1]).sendall(struct.pack("!HBQ", 9 + len(body), kind, int(uid, 16)) + body)
+
+    def chatter(self):
+        """States of the group, as a real exchange tells them all the time."""
+        def go(link=self.links[-1]):
+            with contextlib.suppress(OSError):
+                while True:
+                    self.send(43, "0" * 16, (43, b"idle:9000;circuits:9000"), link=link)
+                    time.sleep(0.05)
+        threading.Thread(target=go, daemon=True).start()
 
     def answer(self, uid, description=b"answer"):
         self.send(9, uid, (61, description))
@@ -181,7 +193,10 @@
     def _serve(self, link):
         file = link.makefile("rwb")
         while True:
-            line = file.readline()
+            try:
+                line = file.readline()
+            except ConnectionResetError:
+                return
             if not line:
                 return
             query = dict(part.split("=") for part in line.split(b" ")[1].decode().split("?")[1].split("&"))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -156,3 +156,18 @@
     timer = only_action(failed, SetTimer)
     assert timer.in_s < desk.settings.ask_within_s
     assert [type(action).__name__ for action in desk.at(timer.in_s).due(timer.token)] == ["Subscribe"]
+
+
+def test_a_connection_that_broke_says_nothing_of_the_route():
+    desk = Desk()
+    desk.call(left=9.0)
+    wait = only_action(desk.at(0.1).ended(1, 101, Outcome.CUT), SetTimer)
+    assert sends(desk.at(wait.in_s).due(wait.token)) == [101]
+
+
+def test_calls_taken_back_at_once_do_not_press_their_destination():
+    desk = Desk(circuits=500.0)
+    for _ in range(50):
+        desk.at(0.01).call()
+        desk.withdrawn(desk.next_call)
+    assert desk.far(1).level == 0 and sends(desk.call()) == [101]
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -1,12 +1,14 @@
 """The SIP front on the real program: each call gets exactly one final answer, over UDP and over TCP."""
 
+import contextlib
 import signal
+import socket
 import tempfile
 import time
 import unittest
 
 from .sipstand import SDP, Agent, Consul, Peer, SipCase
-from .stand import ROOT, PlatformCase, Program, until
+from .stand import PATIENCE_S, ROOT, PlatformCase, Program, until
 
 ANSWER = b"v=0\r\no=- 2 2 IN IP4 127.0.0.1\r\ns=hub\r\n"
 
@@ -426,6 +428,24 @@
         self.assertEqual(program.finish(), 0)
 
 
+class Crowd(SipCase):
+    transport = "TCP"
+    changes = {"sockets = 1024": "sockets = 40"}
+
+    def test_silent_connections_make_room_and_are_closed(self):
+        self.caller.request("OPTIONS")
+        self.caller.expect(200)
+        silent = [socket.create_connection(self.address, PATIENCE_S) for _ in range(60)]
+        self.program.wait_log("end role=sip", "code=crowded")
+        self.caller.request("OPTIONS")
+        self.caller.expect(200)
+        for sock in silent:
+            self.addCleanup(sock.close)
+            with contextlib.suppress(ConnectionResetError):
+                self.assertEqual(sock.recv(1), b"")
+        self.program.wait_log("end role=sip", "code=unused")
+
+
 class Consuls(SipCase):
     def test_it_registers_itself_keeps_its_check_passing_and_leaves(self):
         until(lambda: any("/check/pass/" in path for path, _ in self.consul.puts), "a pass")
