--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -29,10 +29,10 @@
             41: Outcome.CUT, 16: Outcome.OK}
 REASONS = {"atb": Reason.NO_CIRCUIT, "rtb": Reason.TURNED_BACK, "racc": Reason.BEYOND_FULL,
            "acc": Reason.PROCESSOR_FULL, "sub": Reason.LINES_BUSY}
-WATCH_S = 0.1  # how often the silence of the links is looked at
+WATCH_S = 0.05  # how often the silence of the links is looked at
 GONE_US = 6_000_000  # unreached and unheard for so long: what stood there is over
 QUIET_GAPS = 40  # so many mean gaps between frames are silence, where something is owed
-QUIET_US = (400_000, 1_500_000)  # but no less than this, and no more
+QUIET_US = (150_000, 1_500_000)  # but no less than this, and no more
 IDLE_SHARE = 0.9  # of the time after which exchanges close idle connections
 MOST_RELEASES = 10_000
 RETRY_US = (50_000, 200_000, 500_000, 1_000_000)  # gaps between tries to connect
@@ -207,7 +207,8 @@
         or the machine is gone. What is open on it is settled at once; the next one tells whether anybody
         is there. Seen mute twice, so that what has arrived meanwhile is read first."""
         connection = self.connection
-        if connection is None:
+        if connection is None or not self.sends:
+            # an exchange that drains has little to tell, and takes no new connection for what stands there
             return
         owed = connection.open or self.legs.stands_at(self.hub.name)
         was_mute, connection.seen_mute = connection.seen_mute, bool(owed) and connection.mute(now)
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -107,6 +107,7 @@
         self.name, self.number = name, number
         self.sock = listener(address)
         self.links = []
+        self.quiet, self.told = False, 0  # of the chatter
         self.sending = threading.Lock()
 
     def accept(self):
@@ -144,13 +145,14 @@
         with self.sending:
             (link or self.links[-1]).sendall(struct.pack("!HBQ", 9 + len(body), kind, int(uid, 16)) + body)
 
-    def chatter(self):
+    def chatter(self, gap_s=0.05):
         """States of the group, as a real exchange tells them all the time."""
         def go(link=self.links[-1]):
             with contextlib.suppress(OSError):
-                while True:
+                while not self.quiet:
                     self.send(43, "0" * 16, (43, b"idle:9000;circuits:9000"), link=link)
-                    time.sleep(0.05)
+                    self.told += 1
+                    time.sleep(gap_s)
         threading.Thread(target=go, daemon=True).start()
 
     def answer(self, uid, description=b"answer"):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -145,7 +145,7 @@
         self.one.read()
         began = time.monotonic()
         self.one.accept()
-        self.assertLess(time.monotonic() - began, 1.2)
+        self.assertLess(time.monotonic() - began, 0.6)
         self.assertEqual(self.one.read()[:2], (12, A))  # it may stand there, its answer lost
         self.assertEqual(self.one.read()[:2], (1, A))
         self.one.answer(A)
@@ -256,6 +256,16 @@
         self.assertIsNone(self.one.read())
         self.program.wait_log("end role=exchange", "s-1", "code=let-go")
 
+    def test_an_exchange_that_drains_may_be_silent_and_keeps_its_connection(self):
+        self.one.chatter(0.005)
+        until(lambda: self.one.told > 60, "enough to know how long its silences are")
+        self.stand(self.caller())
+        self.channel.tell(self.one.entry("Terminating"))
+        polls = self.channel.polls
+        until(lambda: self.channel.polls > polls, "the next poll")
+        self.one.quiet = True
+        self.assertFalse(select.select([self.one.links[0], self.one.sock], [], [], 1.0)[0])
+
     def test_what_stands_at_an_exchange_that_is_gone_is_released(self):
         caller = self.caller()
         caller.launch(A)
