Over SIP only faults are tried again; what a hub declines is final

The SIP test of refusals failed with the retry after a fault: 603 and 488 came as the same outcome as 500 (sip/legs.py, outcome_of). Other 3xx, 4xx and 6xx are now declined, with a reason of their own; other 5xx are faults and tried again.

--- a/chutefork/interface.py
+++ b/chutefork/interface.py
@@ -31,6 +31,7 @@
     BEYOND_FULL = "the tandem turned it back: the destination's processor was full"
     PROCESSOR_FULL = "processor full"
     LINES_BUSY = "every line of the number is busy"
+    DECLINED = "the switch wants no further try of this call"
 
 
 class SwitchState(Enum):
--- a/chutefork/sip/legs.py
+++ b/chutefork/sip/legs.py
@@ -34,7 +34,9 @@
         return Outcome.NOT_SET_UP, Reason.PROCESSOR_FULL, retry_after_us
     if code in (408, 504):
         return Outcome.TIMEOUT, Reason.NONE, None
-    return Outcome.ERROR, Reason.NONE, None
+    if 500 <= code < 600:
+        return Outcome.ERROR, Reason.NONE, None
+    return Outcome.ERROR, Reason.DECLINED, None  # another try would meet the same answer
 
 
 class Leg:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -189,7 +189,7 @@
         self.one.expect("ACK")
 
     def test_refusals_of_a_hub_keep_their_meaning(self):
-        for code, extra, wanted in ((486, (), 486), (600, (), 486), (500, (), 500), (603, (), 500),
+        for code, extra, wanted in ((486, (), 486), (600, (), 486), (488, (), 500), (603, (), 500),
                                     (503, ("Retry-After: 7",), 503)):
             began = time.monotonic()
             self.caller.invite()
@@ -200,6 +200,13 @@
             if wanted == 503:
                 self.assertTrue(1 <= int(answer.get("Retry-After")) <= 2)
 
+    def test_a_fault_of_the_hub_is_followed_by_another_try_at_once(self):
+        self.caller.invite()
+        self.one.reply(self.one.expect("INVITE"), 500)
+        self.one.expect("ACK")
+        self.one.reply(self.one.expect("INVITE"), 200, ANSWER)
+        self.caller.within("ACK", self.caller.expect(200))
+
     def test_a_hub_without_a_circuit_is_followed_by_a_way_round_at_once(self):
         self.caller.invite()
         self.one.reply(self.one.expect("INVITE"), 503, extra=('Reason: Q.850;cause=34;text="none"',))
