Where descriptors run short, end connections that carried calls last and in order

In the log 3,705 connections ended as crowded, three of them usual ones (in=10 to 12), aborted while newer connections that had only asked whether we are there stayed (callers.py, make_room: proven counted a test like a call). Ruled out: the restart (left unanswered=0), mute links (none in the log). Now: who has carried a call goes last, and by an orderly close; who has only asked is closed after 2 s, not 5. The test fails without the change.

--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -179,7 +179,8 @@
                 continue
             if not connection.proven and now - connection.made_at > UNUSED_US:
                 connection.end("unused")
-            elif connection not in busy and now - connection.acted_at > IDLE_US:
+            elif connection not in busy and now - connection.acted_at > (
+                    IDLE_US if connection.stood else UNUSED_US):
                 connection.end("idle")
         self.clock.callLater(SWEEP_S, self.sweep)
 
@@ -188,14 +189,16 @@
 
     def make_room(self, newest: CallerProtocol) -> None:
         """Guards the descriptors against connections by the hundred: of those with no set-up open the one
-        goes that matters least, first where nothing usable has come, then the longest idle. Those made in
-        this turn have not been read yet."""
+        goes that matters least: nothing usable has come, then nothing but tests and refused set-ups, then the
+        longest idle. Those made in this turn have not been read yet. What has carried a call ends in order:
+        its last answer may still be on its way."""
         if sum(not item.code for item in self.connections) <= self.most:
             return
         now, busy = self.clock.now_us(), {place[0] for place in self.standing.values()}
         idle = (item for item in self.connections if not (item.open or item.code or item.made_at == now))
-        least = min(idle, key=lambda item: (item.proven, item in busy, item.acted_at), default=newest)
-        least.end("crowded", at_once=True)
+        least = min(idle, key=lambda item: (item.proven, item.stood > 0, item in busy, item.acted_at),
+                    default=newest)
+        least.end("crowded", at_once=not least.proven)
 
     def launch(self, connection: CallerProtocol, call: int, uid: str, record: dict) -> None:
         try:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -386,6 +386,18 @@
         for caller in silent:
             self.assertIsNone(caller.read())
 
+    def test_who_only_asks_whether_we_are_there_makes_room_for_those_who_carry_calls(self):
+        usual = self.caller()
+        self.stand(usual)
+        self.one.release(A, 16)
+        usual.read()
+        askers = [self.caller() for _ in range(self.LIMITS["sockets"])]
+        for caller in askers:
+            caller.send(kind="check", uid=A, meta={}, reason=0)
+        self.program.wait_log("end role=caller", "code=crowded")
+        self.stand(usual, B)
+        self.assertEqual(self.program.logged("end role=caller", f":{usual.port()} "), [])
+
     def test_who_says_nothing_usable_is_closed_within_three_seconds(self):
         began, half = time.monotonic(), self.caller()
         half.sock.sendall(b'{"kind":"launch","uid":')
