Let the test of making room fail without its change, on any machine

The first form sent its tests only after all connections were made, so the crowd was of silent ones: it passed with the old order too, and failed once when a connection was closed before its test went out. Each now asks and is answered before the next. Checked both ways: fails without item.stood in make_room's order, four at once pass with it.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -391,9 +391,10 @@
         self.stand(usual)
         self.one.release(A, 16)
         usual.read()
-        askers = [self.caller() for _ in range(self.LIMITS["sockets"])]
-        for caller in askers:
-            caller.send(kind="check", uid=A, meta={}, reason=0)
+        for _ in range(self.LIMITS["sockets"]):
+            asker = self.caller()
+            asker.send(kind="check", uid=A, meta={}, reason=0)
+            self.assertEqual(asker.read()["kind"], "checked")
         self.program.wait_log("end role=caller", "code=crowded")
         self.stand(usual, B)
         self.assertEqual(self.program.logged("end role=caller", f":{usual.port()} "), [])
