Drop answers to nothing that is open without ending the link they came on

Checked: of 600 link ends in the traces 227 were 'bad-frame ... no text', and every one of these came from an answer under an id that was never sent, with the good answer right behind it (exchanges.py, heard: the description was read before it was asked whether anybody waits for it). So a sound link was ended, with the set-ups open on it, and a release that crossed that close was lost: the exchange held the link for good and tells it on the next one only if it knows that it was not told. Ruled out: the caller's side (the usual connections stay, every release in the traces was heard), ids used again by bad clients (none came first), a close and a new connection at once (a probe with no pause at all lost nothing), faults in the log (none). Now: an answer to no open set-up of its connection is a stray, whatever it holds: late ones are released, others dropped. The test fails without the change.

--- a/chutefork/core/messages.py
+++ b/chutefork/core/messages.py
@@ -63,6 +63,14 @@
     description: str
 
 
+@dataclass(frozen=True, slots=True)
+class Stray:
+    """An answer to no set-up that is open at the hub: late, a second copy, or never asked for."""
+
+    call: int
+    hub: str
+
+
 @dataclass(frozen=True, slots=True)
 class Ended:
     call: int
@@ -102,7 +110,7 @@
     """The program is about to end: whatever is still owed an answer gets it now."""
 
 
-Event = Arrival | Withdrawn | Stands | Ended | HubsListed | GroupTold | HubLost | Due | Leave
+Event = Arrival | Withdrawn | Stands | Stray | Ended | HubsListed | GroupTold | HubLost | Due | Leave
 
 # ---- effects
 
--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -201,10 +201,7 @@
 def _on_stands(state: State, event: m.Stands, now: int, effects: list[m.Effect]) -> None:
     call = state.calls.get(event.call)
     if call is None or call.hub != event.hub:
-        known = event.call in state.finished or event.call in state.calls or event.call in state.standing
-        if known and state.standing.get(event.call) != event.hub:
-            # guards against an answer that crossed our giving up: left alone, that call would stand unowned
-            effects.append(m.Release(event.call, event.hub))
+        _on_stray(state, m.Stray(event.call, event.hub), now, effects)
         return
     del state.calls[event.call]
     state.standing[event.call] = event.hub
@@ -214,6 +211,15 @@
                               (now - call.sent_at) / SECOND), now, effects)
 
 
+def _on_stray(state: State, event: m.Stray, now: int, effects: list[m.Effect]) -> None:
+    call = state.calls.get(event.call)
+    if call is not None and call.hub == event.hub or state.standing.get(event.call) == event.hub:
+        return  # a second copy, or the call is on its way there anew: a release would end that
+    if call is not None or event.call in state.finished or event.call in state.standing:
+        # guards against an answer that crossed our giving up: left alone, that call would stand unowned
+        effects.append(m.Release(event.call, event.hub))
+
+
 def _on_ended(state: State, event: m.Ended, now: int, effects: list[m.Effect]) -> None:
     call = state.calls.get(event.call)
     if call is not None:
@@ -320,6 +326,6 @@
         _decide(state, api.Withdrawn(call), now, effects)
 
 
-_HANDLERS = {m.Arrival: _on_arrival, m.Withdrawn: _on_withdrawn, m.Stands: _on_stands, m.Ended: _on_ended,
-             m.HubsListed: _on_hubs, m.GroupTold: _on_group, m.HubLost: _on_lost, m.Due: _on_due,
-             m.Leave: _on_leave}
+_HANDLERS = {m.Arrival: _on_arrival, m.Withdrawn: _on_withdrawn, m.Stands: _on_stands, m.Stray: _on_stray,
+             m.Ended: _on_ended, m.HubsListed: _on_hubs, m.GroupTold: _on_group, m.HubLost: _on_lost,
+             m.Due: _on_due, m.Leave: _on_leave}
--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -276,6 +276,11 @@
     def heard(self, kind: int, call: int, parameters: dict[int, bytes]) -> None:
         tell, name = self.legs.driver.tell, self.hub.name
         if kind == ANSWER:
+            if call not in self.connection.open:
+                # guards the link, and all that is open on it, against extra answers beside the good ones: a
+                # second copy, a late one, one under an id that nobody asked for; whatever it holds is dropped
+                tell(m.Stray(call, name))
+                return
             description = parameters.get(DESCRIPTION, b"").decode("utf-8")
             if not description or UNPRINTED.search(description):  # guards callers against a spoilt answer
                 raise ValueError("an answer whose description is no text")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -175,16 +175,26 @@
                 self.one.release(uid, 16)
                 caller.read()
 
-    def test_an_answer_under_an_unknown_id_and_a_second_copy_are_dropped(self):
-        caller = self.caller()
+    def test_answers_to_nothing_that_is_open_are_dropped_and_end_no_link_whatever_they_hold(self):
+        caller, noise = self.caller(), b"\x9a\x0e\xc4\x05\x00"
         caller.launch(A)
         self.one.read()
-        self.one.answer(C, b"not for anybody")
+        for stray in (b"not for anybody", noise, b""):
+            self.one.answer(C, stray)
         self.one.answer(A)
-        self.one.answer(A, b"second copy")
+        for copy in (b"second copy", noise):
+            self.one.answer(A, copy)
         self.assertEqual(caller.read()["body"], "answer")
+        caller.launch(B)
+        self.assertEqual(self.one.read()[:2], (1, B))
+        caller.send(kind="stop", uid=B, meta={}, reason=16)
+        self.assertEqual(self.one.read()[:2], (12, B))
+        self.one.answer(B, noise)  # late: left alone, the call would stand there unowned
+        self.assertEqual(self.one.read()[:2], (12, B))
         self.assertTrue(caller.silent(0.2))
-        self.assertFalse(select.select([self.one.links[-1]], [], [], 0.1)[0])
+        self.one.release(A, 16)
+        self.assertEqual(caller.read()["uid"], A)
+        self.assertFalse(select.select([self.one.links[-1], self.one.sock], [], [], 0.1)[0])
 
     def test_a_connection_that_the_exchange_may_soon_close_is_renewed_before_a_set_up(self):
         program = self.start(settings={**SETTINGS, "limits": {**SETTINGS["limits"], "idle_close_s": 0.5}})
