Count no overtaken set-up against a processor; mark from the rate over the time seen

Now: a set-up that three later ones have overtaken does not wait in that processor's one line: it is not counted, and its time-out is no reading. The mark takes the rate over the time seen. Both tests fail without the change.

--- a/chutefork/rules.py
+++ b/chutefork/rules.py
@@ -25,6 +25,7 @@
 AROUND_SHARE = 0.5  # share of that bound from which a direct answer speaks against a third processor
 LEVEL_2_RATIO = 45 / 40  # level 2's mark over level 1's (the paper's ratio)
 FAULTS = 20  # signalling faults in a row: an exchange that answers nothing else gets one try a call
+PASSED = 3  # later set-ups answered: one that they passed by does not wait in that processor's line
 COLD_MARGIN = 0.5  # share of the tipping budget used: the rest is for chance, repeats and callers' redials
 
 
@@ -40,10 +41,12 @@
     size: float = 0.0
     rate: float = 0.0  # smoothed answers per second, and when last smoothed
     rate_at: float = 0.0
+    begun_at: float = -math.inf  # the first set-up: what came before is not in the rate
     level: int = 0
     over: int = 0  # readings in a row
     under: int = 0
     out: dict[int, float] = field(default_factory=dict)  # unanswered set-ups: call -> when sent
+    stood: list[float] = field(default_factory=list)  # when the latest of those that stand were sent
     over_until: float = -math.inf  # readings are over until then: a failure's wait cannot have drained yet
     noted_at: float = -math.inf  # when the log last told of it
     faults: int = 0  # signalling faults in a row
@@ -60,15 +63,39 @@
     def answered(self, now: float, smooth_s: float) -> None:
         self.rate, self.rate_at = self.carried(now, smooth_s) + 1 / smooth_s, now
 
+    def per_s(self, now: float, smooth_s: float) -> float:
+        """The rate over the time seen, in place of one that rises from nothing: a controller that has just
+        started would else meet its first seconds with the least mark, and refuse what is answered at once."""
+        seen = 1 - math.exp((self.begun_at - now) / smooth_s)
+        return self.carried(now, smooth_s) / seen if seen > 0 else 0.0
+
+    def stands(self, sent_at: float) -> None:
+        self.stood = sorted((*self.stood, sent_at))[-PASSED:]
+
+    def passed_by(self, sent_at: float) -> bool:
+        """A processor has one line: whom several later ones have overtaken does not wait there, its answer is
+        lost. Guards a processor that answers all others at once against readings that last as long as a
+        caller's patience. Harm: one that serves some senders first is read lower than it is."""
+        return len(self.stood) == PASSED and sent_at < self.stood[0]
+
+    def in_line(self) -> int:
+        passed = 0
+        for sent_at in self.out.values():  # in the order of their sending
+            if not self.passed_by(sent_at):
+                break
+            passed += 1
+        return len(self.out) - passed
+
     def read(self, now: float, smooth_s: float, bound_s: float, failed: bool = False,
              wait_s: float = 0.0) -> int:
         """One reading; the change of level. Equal to the mark, or between the two, it is neither."""
         if failed:  # an emptied count must not reopen a full or silent processor; harm: after a short stall
             self.over_until = max(self.over_until, now + wait_s)
-        mark = max(MARK_FLOOR, self.carried(now, smooth_s) * bound_s)
+        mark = max(MARK_FLOOR, self.per_s(now, smooth_s) * bound_s)
         marks = mark, mark, mark * LEVEL_2_RATIO
-        over = failed or now < self.over_until or len(self.out) > marks[min(self.level + 1, 2)]
-        return self.step(over, not over and len(self.out) < marks[max(self.level, 1)])
+        count = self.in_line()
+        over = failed or now < self.over_until or count > marks[min(self.level + 1, 2)]
+        return self.step(over, not over and count < marks[max(self.level, 1)])
 
     def step(self, over: bool, under: bool) -> int:
         """A run of readings moves the level; a reading that is neither ends both runs."""
@@ -336,6 +363,8 @@
         call.attempts += 1
         call.out = far
         far.out[call_id] = now
+        if far.begun_at < 0:
+            far.begun_at = now
         self.waiting += 1
         if far.free is not None:
             far.free -= call.arrival.width_circuits
@@ -351,8 +380,10 @@
 
     def on_stands(self, now: float, event: api.Stands) -> None:
         call = self.calls.pop(event.call, None)  # nothing more is owed: its end, or a cut, comes closed
-        if event.switch in self.far:
-            self.far[event.switch].faults = 0
+        far = self.far.get(event.switch)
+        if far is not None:
+            far.faults = 0
+            far.stands(far.out.get(event.call, -math.inf))
         self.settle(now, event.call, call, event.switch, failed=False, answered=True)
 
     def on_withdrawn(self, now: float, event: api.Withdrawn) -> None:
@@ -417,6 +448,7 @@
         if sent_at is None:
             return
         self.waiting -= 1
+        failed = failed and not far.passed_by(sent_at)
         if (answered or failed) and far.number == call.arrival.destination:
             took_s = math.inf if failed else now - sent_at
             self.heard.append((now, far.number, took_s))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -373,6 +373,32 @@
         self.assertIsNone(self.two.read())
 
 
+class Pressed(PlatformCase):
+    def serve(self, caller, uids):
+        """Calls set up at once, and answered in their order; how many stood."""
+        for uid in uids:
+            caller.launch(uid, left=9000)
+        for _ in uids:
+            if not select.select([self.one.links[-1]], [], [], 0.2)[0]:
+                break
+            self.one.answer(self.one.read()[1])
+        return [caller.read()["kind"] for _ in uids].count("running")
+
+    def test_lost_set_ups_shut_no_exchange_that_answers_later_ones_at_once(self):
+        caller = self.caller()
+        for number in range(8):
+            caller.launch(f"{number + 1:016x}", left=9000)
+            self.one.read()
+        uids = [f"{number + 100:016x}" for number in range(40)]
+        self.assertEqual([uid for uid in uids if not self.serve(caller, [uid])], uids[:0])
+
+    def test_a_fresh_controller_takes_as_much_at_once_as_is_answered_at_once(self):
+        caller = self.caller()
+        for batch in range(12):
+            count = 12 if batch else 5
+            self.assertEqual(self.serve(caller, [f"{batch * 16 + n + 1:016x}" for n in range(count)]), count)
+
+
 class Crowd(PlatformCase):
     LIMITS = {"cores": 1.0, "memory_mb": 64, "sockets": 64}
 
