Tell mute links as a retransmission timer does, from when something is owed

At fault: exchanges.py, mute: 40 mean gaps between frames, which on a link of 20 frames a second is over a second, and the count of silences in a row began anew whenever we gave a call up ourselves (settled, called from release). Now: answer time plus four times its spread (at least 60 ms), looked at every 25 ms, twice; on the second mute link in a row the attempts end as timed out and read over. The log tells the silence and what was open. The test fails without the change.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -29,10 +29,12 @@
             41: Outcome.CUT, 16: Outcome.OK}
 REASONS = {"atb": Reason.NO_CIRCUIT, "rtb": Reason.TURNED_BACK, "racc": Reason.BEYOND_FULL,
            "acc": Reason.PROCESSOR_FULL, "sub": Reason.LINES_BUSY}
-WATCH_S = 0.05  # how often the silence of the links is looked at
+WATCH_S = 0.025  # how often the silence of the links is looked at
 GONE_US = 6_000_000  # unreached and unheard for so long: what stood there is over
-QUIET_GAPS = 40  # so many mean gaps between frames are silence, where something is owed
+OWED_US = 60_000  # no less than this is silence where an answer is owed
+QUIET_GAPS = 40  # where none has been heard yet, or calls only stand, so many mean gaps between frames are
 QUIET_US = (150_000, 1_500_000)  # but no less than this, and no more
+LEARNT = 16  # answers over which their time and its spread are smoothed
 IDLE_SHARE = 0.9  # of the time after which exchanges close idle connections
 MOST_RELEASES = 10_000
 RETRY_US = (50_000, 200_000, 500_000, 1_000_000)  # gaps between tries to connect
@@ -74,7 +76,7 @@
     def __init__(self, link: ExchangeLink) -> None:
         self.link = link
         self.clock = link.clock
-        self.open: set[int] = set()  # set-ups sent here whose end has not been heard
+        self.open: dict[int, int] = {}  # set-ups sent here whose end has not been heard: call -> when sent
         self.peer = f"{link.hub.name}@{link.hub.address}"
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -83,11 +85,18 @@
         self.link.made(self)
 
     def mute(self, now: int) -> bool:
-        """Longer without a frame than a sound connection ever is, states of the group among them."""
-        least, most = QUIET_US
-        if self.taken > QUIET_GAPS:
-            most = min(max(round(self.gap_us * QUIET_GAPS), least), most)
-        return now - self.heard_at > most << min(self.link.silences, 5)
+        """Longer without a frame than a sound connection ever is while something is owed on it. A set-up that
+        was overdue when the last frame came is lost by itself: it proves nothing of the connection."""
+        (least, most), again = QUIET_US, min(self.link.silences, 5)
+        by_gaps_us = round(self.gap_us * QUIET_GAPS) if self.taken > QUIET_GAPS else most
+        by_gaps_us = min(max(by_gaps_us, least), most)
+        patience_us = (min(self.link.answers_within_us(), most) or by_gaps_us) << again
+        first = next((at for at in self.open.values() if at + patience_us > self.heard_at), None)
+        if first is None and not self.link.legs.stands_at(self.link.hub.name):
+            return False
+        if first is None:
+            first, patience_us = 0, by_gaps_us << again
+        return now - max(first, self.heard_at) > patience_us
 
     def resumeProducing(self) -> None:  # noqa: N802
         super().resumeProducing()
@@ -142,7 +151,8 @@
         self.queue: dict[int, tuple[m.SetUp, int]] = {}  # waiting for the connection: call -> set-up, since
         self.releases: list[bytes] = []
         self.heard_at = self.clock.now_us()
-        self.silences = 0  # connections in a row that were mute: in quiet hours there is little to hear
+        self.silences = 0  # connections in a row that were mute: the exchange itself may be
+        self.answer_us = self.spread_us = 0.0  # how long answers take, and how much that varies
 
     def connect(self) -> None:
         self.retry = None
@@ -196,11 +206,13 @@
             self.connection = None
             if self.wanted and self.retry is None and not self.connecting:
                 self.retry = self.clock.callLater(RETRY_US[0] / 1e6, self.connect)
-        ended, connection.open = connection.open, set()
-        for call in sorted(ended):
+        ended, connection.open = connection.open, {}
+        # one connection that broke says nothing of the exchange; mute on a fresh one too, it does not answer
+        outcome = Outcome.TIMEOUT if connection.code == "silent" and self.silences > 1 else Outcome.CUT
+        for call in ended:
             # guards against a call that stands there all the same, its answer spoilt or lost on the way
             self.release_later(release_of(call))
-            self.legs.driver.tell(m.Ended(call, self.hub.name, Outcome.CUT))
+            self.legs.driver.tell(m.Ended(call, self.hub.name, outcome))
 
     def watch(self, now: int) -> None:
         """Guards against a connection that stays open and is of no use any more: an answer broke off there,
@@ -210,11 +222,12 @@
         if connection is None or not self.sends:
             # an exchange that drains has little to tell, and takes no new connection for what stands there
             return
-        owed = connection.open or self.legs.stands_at(self.hub.name)
-        was_mute, connection.seen_mute = connection.seen_mute, bool(owed) and connection.mute(now)
+        was_mute, connection.seen_mute = connection.seen_mute, connection.mute(now)
         if was_mute and connection.seen_mute:
             self.silences += 1
-            connection.end("silent", at_once=True)
+            quiet_ms, within_ms = (now - connection.heard_at) // 1000, self.answers_within_us() // 1000
+            connection.end("silent", f"for {quiet_ms} ms, {len(connection.open)} set-ups open, answers within"
+                                     f" {within_ms} ms", at_once=True)
 
     def let_go(self, code: str) -> None:
         if self.retry is not None:
@@ -253,8 +266,7 @@
         if self.connection is None or not self.connection.push(data):
             self.legs.driver.later(m.Ended(effect.call, self.hub.name, Outcome.NOT_SENT))
             return
-        self.connection.open.add(effect.call)
-        self.connection.wrote_at = self.clock.now_us()
+        self.connection.wrote_at = self.connection.open[effect.call] = self.clock.now_us()
 
     def release(self, effect: m.Release) -> None:
         if self.queue.pop(effect.call, None) is not None:
@@ -262,16 +274,26 @@
         data = release_of(effect.call)
         if self.connection is None or not self.connection.push(data):
             self.release_later(data)
-        self.settled(effect.call)
+        if self.connection is not None:
+            self.connection.open.pop(effect.call, None)
 
     def release_later(self, data: bytes) -> None:
         if len(self.releases) < MOST_RELEASES:
             self.releases.append(data)
 
-    def settled(self, call: int) -> None:
+    def settled(self, call: int, stands: bool = False) -> None:
         self.silences = 0
-        if self.connection is not None:
-            self.connection.open.discard(call)
+        sent_at = self.connection.open.pop(call, None)
+        if stands and sent_at is not None:
+            took_us = self.clock.now_us() - sent_at
+            if not self.answer_us:
+                self.answer_us, self.spread_us = took_us, took_us / 2
+            self.spread_us += (abs(took_us - self.answer_us) - self.spread_us) / LEARNT
+            self.answer_us += (took_us - self.answer_us) / LEARNT
+
+    def answers_within_us(self) -> int:
+        """As a retransmission timer reckons it; 0 where no answer has been heard yet."""
+        return max(round(self.answer_us + 4 * self.spread_us), OWED_US) if self.answer_us else 0
 
     def heard(self, kind: int, call: int, parameters: dict[int, bytes]) -> None:
         tell, name = self.legs.driver.tell, self.hub.name
@@ -284,7 +306,7 @@
             description = parameters.get(DESCRIPTION, b"").decode("utf-8")
             if not description or UNPRINTED.search(description):  # guards callers against a spoilt answer
                 raise ValueError("an answer whose description is no text")
-            self.settled(call)
+            self.settled(call, stands=True)
             tell(m.Stands(call, name, description))
         elif kind == RELEASE:
             cause = parameters.get(CAUSE, b"")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -152,6 +152,24 @@
         self.assertEqual(caller.read()["kind"], "running")
         self.assertEqual(len(self.program.wait_log("end role=exchange", "code=silent")), 1)
 
+    def test_a_link_that_answered_at_once_is_mute_sooner_and_not_for_one_lost_set_up(self):
+        caller = self.caller()
+        for number in range(6):
+            self.stand(caller, f"{number + 1:016x}")
+        caller.launch(A, left=2400)
+        self.one.read()
+        self.stand(caller, B)  # the link speaks on: the answer to the first is lost by itself
+        for number in range(7):
+            self.one.release(f"{number + 1:016x}" if number < 6 else B, 16)
+            caller.read()
+        self.assertFalse(select.select([self.one.sock], [], [], 0.6)[0])
+        caller.launch(C, left=2400)
+        self.one.read()
+        began = time.monotonic()
+        self.one.accept()
+        self.assertLess(time.monotonic() - began, 0.6)
+        self.program.wait_log("end role=exchange", "code=silent", "2 set-ups open")
+
     def test_a_spoilt_answer_ends_its_link_and_all_that_is_open_there_is_settled_at_once(self):
         for number, (length, kind, rest) in enumerate((
                 (20, 123, b"\x3d\x00\x0812345678"), (20, 9, b"\x3d\x00\x08\xcc\xfe345678"),
