Take no time-out sooner than a processor may take for a sign of its load

A trace of outcomes and refusals: exchanges that answered the others within 60 ms stood at levels 1 and 2 at n1; every failed reading was a time-out after 7 to 60 ms with no time left: callers that leave a few hundredths of a second (rules.py, on_ended: any time-out read over). A withdrawal that soon was already no reading (on_withdrawn); both ask the same now. Ruled out: links (none ended), the command channel, lost set-ups (none was passed by), the processors (no answer over 0.2 s). The test fails without the change.

--- a/chutefork/rules.py
+++ b/chutefork/rules.py
@@ -389,16 +389,21 @@
     def on_withdrawn(self, now: float, event: api.Withdrawn) -> None:
         call = self.calls.pop(event.call, None)
         if call is not None and call.out is not None:
-            # taken back sooner than a processor may take: nothing was learnt of it
-            waited = now - call.out.out.get(event.call, now) > self.bound_s
-            self.settle(now, event.call, call, call.out.switch, failed=waited, answered=False)
+            failed = self.waited(now, event.call, call)
+            self.settle(now, event.call, call, call.out.switch, failed, answered=False)
+
+    def waited(self, now: float, call_id: int, call: Call) -> bool:
+        """Whether an attempt that ended with no answer has waited longer than a processor may take. Guards
+        sound exchanges against callers that leave no time, or take back at once: nothing was learnt there."""
+        return now - call.out.out.get(call_id, now) > self.bound_s
 
     def on_ended(self, now: float, event: api.AttemptEnded) -> None:
         self.on_load(now, event)
         call = self.calls.get(event.call)
         if call is None or call.out is None:
             return
-        failed = (event.outcome in (api.Outcome.TIMEOUT, api.Outcome.NOT_REACHED) or
+        failed = (event.outcome is api.Outcome.NOT_REACHED or
+                  event.outcome is api.Outcome.TIMEOUT and self.waited(now, event.call, call) or
                   event.outcome is api.Outcome.NOT_SET_UP and event.reason is api.Reason.PROCESSOR_FULL)
         answered = event.outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.NOT_SET_UP)
         wait_s = self.bound_s if event.told_wait_s is None else event.told_wait_s - self.bound_s / BOUND_SHARE
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -411,6 +411,15 @@
         uids = [f"{number + 100:016x}" for number in range(40)]
         self.assertEqual([uid for uid in uids if not self.serve(caller, [uid])], uids[:0])
 
+    def test_callers_that_leave_no_time_shut_no_exchange(self):
+        caller = self.caller()
+        for number in range(12):
+            caller.launch(f"{number + 1:016x}", left=100)
+            self.assertEqual(self.one.read()[0], 1)
+            self.assertEqual(self.one.read()[0], 12)
+            self.assertEqual(caller.read()["kind"], "stop")
+        self.assertEqual(self.serve(caller, [f"{number + 100:016x}" for number in range(4)]), 4)
+
     def test_a_fresh_controller_takes_as_much_at_once_as_is_answered_at_once(self):
         caller = self.caller()
         for batch in range(12):
