Cut only the calls from before a hub's restart when the list tells it late

Callers saw: calls set up at a restarted exchange's new process got a release with cause 41 as soon as the list told the restart, and still stood at the exchange. Cause: `_on_hubs_listed` (core/reducer.py) cut every call of the hub, whichever process it was up at, and released none of them at the hub. Evidence: the new test sets up one call before and one after the start, then publishes the start. Without the change the second call gets cause 41 in place of its own end with 16, and no release reaches the exchange. Why it works: a call answered before the process started was answered by an earlier one, which is gone; a later one is up at the new process. A new log line says how many calls a listed restart ends and how many it keeps. Result: the test fails before the change and passes with it (0.3 s).

--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -46,7 +46,7 @@
 
     hub: messages.Hub  # as last listed
     switch: int  # the number by which the controller identifies the hub
-    established_calls: set[int] = field(default_factory=set)  # call ids
+    established_calls: dict[int, int] = field(default_factory=dict)  # call id -> when its answer came
 
 
 @dataclass(slots=True)
@@ -306,7 +306,7 @@
     state.finished_at[call_id] = now
     entry = state.hubs.get(hub)
     if entry is not None:
-        entry.established_calls.discard(call_id)
+        entry.established_calls.pop(call_id, None)
 
 
 def _on_established(
@@ -322,7 +322,7 @@
         return
     del state.calls[event.call]
     state.established[event.call] = event.hub
-    state.hubs[event.hub].established_calls.add(event.call)
+    state.hubs[event.hub].established_calls[event.call] = now
     effects.append(messages.Answer(event.call, event.description))
     _run_controller(
         state,
@@ -409,8 +409,8 @@
     """Handles a hub list: adds, updates and removes hubs, and passes the list to the controller.
 
     With any kind but CHANGES, hubs that are not listed are gone. The calls established at a hub that is gone
-    or has restarted are cut, and attempts open at a hub that is gone end with CUT. Every hub but those
-    of this exchange's own number gets an `UpdateHubConnection` effect.
+    are cut, at one that has restarted those from before its start; attempts open at a hub that is gone end
+    with CUT. Every hub but those of this exchange's own number gets an `UpdateHubConnection` effect.
     """
     listed_names = set()
     for hub in event.hubs:
@@ -423,8 +423,8 @@
         entry = state.hubs.get(hub.name)
         if entry is None:
             entry = state.hubs[hub.name] = HubEntry(hub, switch)
-        elif hub.started_at > entry.hub.started_at > 0 and entry.established_calls:
-            _cut_established_calls(state, entry, now, effects)  # the hub restarted: its calls are lost
+        elif hub.started_at > entry.hub.started_at > 0:
+            _on_hub_restarted(state, entry, hub.started_at, now, effects)
         entry.hub = hub
     if event.kind is not api.ListKind.CHANGES:
         for name, entry in state.hubs.items():
@@ -444,7 +444,7 @@
     _run_controller(state, api.SwitchList(event.kind, entries), now, effects)
     for name, entry in list(state.hubs.items()):
         if entry.hub.state is api.SwitchState.GONE:
-            _cut_established_calls(state, entry, now, effects)
+            _cut_calls(state, name, list(entry.established_calls), now, effects)
         if entry.hub.number != state.settings.own_number:
             ready = entry.hub.state is api.SwitchState.READY
             effects.append(
@@ -469,12 +469,40 @@
             del state.hubs[name], state.switch_by_hub[name], state.hub_by_switch[entry.switch]
 
 
-def _cut_established_calls(state: State, entry: HubEntry, now: int, effects: list[messages.Effect]) -> None:
-    """Ends every call established at the hub with outcome CUT, in the order of their ids."""
-    for call_id in sorted(entry.established_calls):
-        _on_attempt_ended(
-            state, messages.AttemptEnded(call_id, entry.hub.name, api.Outcome.CUT), now, effects
+def _on_hub_restarted(
+    state: State, entry: HubEntry, started_at: int, now: int, effects: list[messages.Effect]
+) -> None:
+    """Cuts the calls that were established at the hub's previous process, before `started_at`.
+
+    The list tells of a restart late: calls established since then are up at the new process and stay.
+    """
+    lost_calls = [
+        call_id for call_id, established_at in entry.established_calls.items() if established_at < started_at
+    ]
+    kept_count = len(entry.established_calls) - len(lost_calls)
+    effects.append(
+        messages.LogMessage(
+            f"hub {entry.hub.name} restarted: {len(lost_calls)} calls from before are ended,"
+            f" {kept_count} since then are kept"
         )
+    )
+    _release_and_cut_calls(state, entry.hub.name, lost_calls, now, effects)
+
+
+def _release_and_cut_calls(
+    state: State, hub_name: str, call_ids: list[int], now: int, effects: list[messages.Effect]
+) -> None:
+    """Cuts the calls and releases them at the hub too: if its process is alive, they would stay up there."""
+    effects.extend(messages.Release(call_id, hub_name) for call_id in sorted(call_ids))
+    _cut_calls(state, hub_name, call_ids, now, effects)
+
+
+def _cut_calls(
+    state: State, hub_name: str, call_ids: list[int], now: int, effects: list[messages.Effect]
+) -> None:
+    """Ends the calls, which are established at the hub, with outcome CUT, in the order of their ids."""
+    for call_id in sorted(call_ids):
+        _on_attempt_ended(state, messages.AttemptEnded(call_id, hub_name, api.Outcome.CUT), now, effects)
 
 
 def _on_group_state(
@@ -497,10 +525,7 @@
     """
     entry = state.hubs.get(event.hub)
     if entry is not None:
-        # The calls are released at the hub as well: if the process is alive and only its listen queue is
-        # full, they would otherwise stay up there without a caller.
-        effects.extend(messages.Release(call_id, event.hub) for call_id in sorted(entry.established_calls))
-        _cut_established_calls(state, entry, now, effects)
+        _release_and_cut_calls(state, event.hub, list(entry.established_calls), now, effects)
 
 
 def _on_wake_up_due(
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -313,13 +313,15 @@
 class PlatformCase(unittest.TestCase):
     """The program, at exchange 0, with a command channel and connections to the exchanges 1 and 2."""
 
+    exchange1_start_ms = 0  # Unix milliseconds, as the first list tells it; 0: long ago
+
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
         self.channel = Channel()
         self.addCleanup(self.channel.close)
         self.exchange1, self.exchange2 = self.exchange("s-1", 1), self.exchange("s-2", 2)
-        self.channel.publish(self.exchange1.entry(), self.exchange2.entry())
+        self.channel.publish(self.exchange1.entry(since=self.exchange1_start_ms), self.exchange2.entry())
         self.program = self.start()
         self.exchange1.accept()
         self.exchange2.accept()
