Release a hub's calls at its first listed restart as well

Callers saw: calls at an exchange that was lost for 5 s and came back with a new process were never released; 27 s after their end they still stood (8 s are allowed). Cause: `_on_hubs_listed` (core/reducer.py) took a later start for a restart only if the start known before was above 0. An exchange that has run since long ago is listed with 0, so its first restart went unseen. Why it works: 0 is the earliest start, so any other is later. Only calls answered before the new start are ended, so those at the new process stay.

--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -423,7 +423,7 @@
         entry = state.hubs.get(hub.name)
         if entry is None:
             entry = state.hubs[hub.name] = HubEntry(hub, switch)
-        elif hub.started_at > entry.hub.started_at > 0:
+        elif hub.started_at > entry.hub.started_at:
             _on_hub_restarted(state, entry, hub.started_at, now, effects)
         entry.hub = hub
     if event.kind is not api.ListKind.CHANGES:
