--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -213,10 +213,15 @@
 
 
 class Channel:
-    """The command channel: answers each poll as soon as there are later events, or when its time is up."""
+    """The command channel: answers each poll as soon as there are later events, or when its time is up.
+
+    Each answer comes `delay_s` later than that.
+    """
 
     def __init__(self):
         self.events, self.polls = [], 0
+        self.delay_s = 0.0
+        self.open_connections = self.most_connections = 0  # now, and at any time so far
         self.changed = threading.Condition()
         self.sock = listening_socket()
         self.sock.settimeout(None)
@@ -240,6 +245,16 @@
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _serve(self, connection):
+        with self.changed:
+            self.open_connections += 1
+            self.most_connections = max(self.most_connections, self.open_connections)
+        try:
+            self._answer_polls(connection)
+        finally:
+            with self.changed:
+                self.open_connections -= 1
+
+    def _answer_polls(self, connection):
         file = connection.makefile("rwb")
         while True:
             try:
@@ -259,6 +274,8 @@
                     lambda after=after: len(self.events) > after, int(query["block"]) / 1000
                 )
                 body = json.dumps({"cursor": len(self.events), "cmds": self.events[after:]}).encode()
+            if select.select([connection], [], [], self.delay_s)[0]:
+                return  # closed: a client sends nothing while it waits for an answer
             try:
                 file.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
                 file.flush()
