Let Consul's answers take longer after each failure, so that a late one arrives

While each answer of Consul came more than 5 s late, a hub that drained went on getting INVITEs. Cause: BlockingQuery (consul.py) aborted each query after its wait and 5 s, and asked the same again with the same limit. Why it works: the limit doubles with each failure up to 40 s, so a later try of the same query is heard; an answer puts it back to 5 s.

--- a/chutefork/consul.py
+++ b/chutefork/consul.py
@@ -22,7 +22,9 @@
     from .sip.settings import ConsulConfig
 
 RETRY_DELAY_RANGE_S = (0.1, 10.0)  # first and longest, before jitter; doubles with each failure
-RESPONSE_TIMEOUT_S = 5.0  # for a blocking query, on top of its wait, to which Consul adds up to 1/16
+# Shortest and longest; doubles with each failure, so that an answer that is always late still arrives. For a
+# blocking query on top of its wait, to which Consul adds up to 1/16.
+RESPONSE_TIMEOUT_RANGE_S = (5.0, 40.0)
 MAINTENANCE_CHECK_PREFIXES = ("_node_maintenance", "_service_maintenance:")
 STATE_BY_CHECK_STATUS = {
     "passing": SwitchState.READY,
@@ -66,6 +68,11 @@
         self.stream = None
         self.clock.callLater(self.next_retry_delay_s(), self.start)
 
+    def response_timeout_s(self) -> float:
+        """How long the answer to the next request may take."""
+        shortest_s, longest_s = RESPONSE_TIMEOUT_RANGE_S
+        return min(shortest_s * 2 ** min(self.failures, 16), longest_s)
+
     def next_retry_delay_s(self) -> float:
         """Counts a failure and returns the backoff after it, with up to 50 % of random jitter on top."""
         self.failures += 1
@@ -90,9 +97,8 @@
 
     def send_next_request(self) -> None:
         path = f"{self.path}?index={self.index}&wait={self.config.wait_s:g}s"
-        self.stream.request(
-            "GET", path, self.config.wait_s * 17 / 16 + RESPONSE_TIMEOUT_S, headers=self.headers
-        )
+        timeout_s = self.config.wait_s * 17 / 16 + self.response_timeout_s()
+        self.stream.request("GET", path, timeout_s, headers=self.headers)
 
     def on_response(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Passes on the result if the index has changed, and sends the next query.
@@ -170,7 +176,7 @@
             self.pending_request = "check"
             result = "pass" if self.is_ready() else "warn"
             path = f"/v1/agent/check/{result}/{quote(f'service:{self.id}', safe='')}"
-        self.stream.request("PUT", path, RESPONSE_TIMEOUT_S, body, self.headers)
+        self.stream.request("PUT", path, self.response_timeout_s(), body, self.headers)
 
     def on_response(self, status: int, headers: dict[str, str], body: bytes) -> None:
         request, self.pending_request = self.pending_request, ""
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -70,9 +70,9 @@
     return "%s:%d" % sock.getsockname()[:2]
 
 
-def wait_until(condition, what):
-    """Polls until the condition is true and returns its value; AssertionError after WAIT_TIMEOUT_S."""
-    end = time.monotonic() + WAIT_TIMEOUT_S
+def wait_until(condition, what, timeout_s=WAIT_TIMEOUT_S):
+    """Polls until the condition is true and returns its value; AssertionError after `timeout_s`."""
+    end = time.monotonic() + timeout_s
     while time.monotonic() < end:
         found = condition()
         if found:
--- a/tests/sip_harness.py
+++ b/tests/sip_harness.py
@@ -235,9 +235,13 @@
 
 
 class FakeConsul:
-    """The catalog, health and agent APIs that the program uses, with blocking queries."""
+    """The catalog, health and agent APIs that the program uses, with blocking queries.
+
+    Each answer to a query comes `delay_s` late.
+    """
 
     def __init__(self, port=0):
+        self.delay_s = 0.0
         self.index, self.services = 10, {}
         self.puts, self.queries = [], []
         self.agent_status = 200
@@ -274,6 +278,7 @@
                     if after:
                         consul.condition.wait_for(lambda: consul.index != after, 2.0)
                     index, value = consul.index, consul.response_for(split.path)
+                time.sleep(consul.delay_s)
                 try:
                     self.reply(200, value, X_Consul_Index=str(index))
                 except OSError:
@@ -324,10 +329,12 @@
             self.index += 1
             self.condition.notify_all()
 
-    def wait_for_queries(self, index, times=2):
+    def wait_for_queries(self, index, times=2, timeout_s=WAIT_TIMEOUT_S):
         """Waits until the program has processed an index: both its queries then ask for changes after it."""
         wait_until(
-            lambda: sum(query[1] == index for query in list(self.queries)) >= times, f"queries from {index}"
+            lambda: sum(query[1] == index for query in list(self.queries)) >= times,
+            f"queries from {index}",
+            timeout_s,
         )
 
     def close(self):
