Move the hub membership out of consul.py into a module of its own

Need: consul.py held Consul's HTTP API and what is made of its lists; the handling of a catalogue that Consul has lost is to be added to the latter.

--- a/chutefork/sip/node.py
+++ b/chutefork/sip/node.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from ..consul import ConsulMembership, Registration
+from ..consul import Registration
+from ..consul_membership import ConsulMembership
 from ..core.messages import Shutdown
 from ..core.reducer import State
 from ..net.clock import CachedClockReactor, UnixClock
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -40,7 +40,16 @@
             )
             for name in names:
                 top = name.split(".")[0]
-                assert top not in {"twisted", "json", "sipmessage", "net", "sip", "config", "consul"}, path
+                assert top not in {
+                    "twisted",
+                    "json",
+                    "sipmessage",
+                    "net",
+                    "sip",
+                    "config",
+                    "consul",
+                    "consul_membership",
+                }, path
 
 
 def test_the_readme_example_runs():
