Query Consul from index 0 on each new connection

Callers saw: after a restart of Consul, which counts from a lower index then, a hub that drained went on getting INVITEs for up to the wait of a query (30 s). Cause: after a lost connection BlockingQuery (consul.py) sent the old, higher index again, and the new Consul held that query for its whole wait. Why it works: a query from index 0 is answered at once, so the lower index and the present list are known as soon as Consul is back. The stand-in of Consul answered a query from an index above its own at once; it now blocks until its index is above the one asked for, as Consul does, which is the stricter check.

--- a/chutefork/consul.py
+++ b/chutefork/consul.py
@@ -85,15 +85,23 @@
         super().__init__(config, clock)
         self.path = path
         self.on_result = on_result
-        self.index = 0
+        self.index = 0  # of the latest result
+        self.wait_from_index = (
+            0  # the next query blocks until Consul's index is above it; 0: it does not block
+        )
+
+    def on_connected(self, stream: HttpStream) -> None:
+        # Consul may have restarted with a lower index; a query from the old one would block there.
+        self.wait_from_index = 0
+        super().on_connected(stream)
 
     def send_next_request(self) -> None:
-        path = f"{self.path}?index={self.index}&wait={self.config.wait_s:g}s"
+        path = f"{self.path}?index={self.wait_from_index}&wait={self.config.wait_s:g}s"
         timeout_s = self.config.wait_s * 17 / 16 + self.response_timeout_s()
         self.stream.request("GET", path, timeout_s, headers=self.headers)
 
     def on_response(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        """Passes on the result if the index has changed, and sends the next query.
+        """Passes on the result if it may have changed, and sends the next query.
 
         Raises ValueError, KeyError or TypeError for an invalid response, which ends the connection.
         """
@@ -104,11 +112,12 @@
             raise TypeError("not a JSON list")
         if index <= 0:  # a query with index 0 does not block: it would be repeated without a pause
             raise ValueError(f"X-Consul-Index must be above 0, is {index}")
-        if index != self.index:
+        if index != self.index or not self.wait_from_index:
             self.on_result(result)
         # An index that goes backwards means that Consul has lost its state, as by a restart. A query with the
         # old index would block until Consul's new index passed it, so the next query starts from 0.
-        self.index = index if index >= self.index else 0
+        self.wait_from_index = index if index >= self.index else 0
+        self.index = index
         self.failures = 0
         if self.stream is not None and not self.stream.end_code:
             self.send_next_request()
--- a/tests/sip_harness.py
+++ b/tests/sip_harness.py
@@ -237,11 +237,12 @@
 class FakeConsul:
     """The catalog, health and agent APIs that the program uses, with blocking queries.
 
-    Each answer to a query comes `delay_s` late.
+    A query from an index is answered once the index is above it, or after `wait_s`; each answer comes
+    `delay_s` later than that.
     """
 
     def __init__(self, port=0):
-        self.delay_s = 0.0
+        self.wait_s, self.delay_s = 2.0, 0.0
         self.index, self.services = 10, {}
         self.puts, self.queries = [], []
         self.agent_status = 200
@@ -276,7 +277,7 @@
                     consul.queries.append((split.path, after))
                     consul.condition.notify_all()
                     if after:
-                        consul.condition.wait_for(lambda: consul.index != after, 2.0)
+                        consul.condition.wait_for(lambda: consul.index > after, consul.wait_s)
                     index, value = consul.index, consul.response_for(split.path)
                 time.sleep(consul.delay_s)
                 try:
@@ -323,6 +324,13 @@
             self.index = index or self.index + 1
             self.condition.notify_all()
 
+    def restarted(self, index):
+        """Ends this Consul; returns a new one at its address, with the same services and this index."""
+        self.close()
+        new = FakeConsul(self.port)
+        new.wait_s, new.services, new.index = self.wait_s, dict(self.services), index
+        return new
+
     def remove_service(self, name):
         with self.condition:
             del self.services[name]
--- a/tests/test_consul_outages.py
+++ b/tests/test_consul_outages.py
@@ -15,3 +15,20 @@
         self.consul.wait_for_queries(self.consul.index, timeout_s=LEARNED_WITHIN_S)
         self.caller.send_invite()
         self.caller.ack_error(self.caller.expect(503))
+
+
+class ConsulRestarts(SipTestCase):
+    config_changes = {"wait_s = 2": "wait_s = 20"}
+
+    def setUp(self):
+        super().setUp()
+        self.consul.wait_s = 20.0
+
+    def test_drain_after_a_restart_of_consul_with_a_lower_index_is_learned_at_once(self):
+        # Guards against a query from the old index, which blocks for its whole wait at the new Consul.
+        self.consul = self.consul.restarted(index=3)
+        self.consul.wait_for_queries(3)
+        self.consul.set_service("hub-1", status="warning")
+        self.consul.wait_for_queries(4)
+        self.caller.send_invite()
+        self.caller.ack_error(self.caller.expect(503))
