Keep the hubs listed before when Consul has lost its state, until it lists them again

Callers saw: when Consul's agent restarted with an empty catalogue, all standing SIP calls got a BYE and new ones 404 until the hubs were registered again. Cause: BlockingQuery (consul.py) passed on the list before it looked whether the index had gone backwards, and ConsulMembership published it as complete, which makes each hub that is not in it gone. Why it works: a lower index says that Consul has lost its state, so a hub that its list leaves out has not left. Hubs are kept in their last state until both answers contain them, and removed 600 s after the first one is listed again.

--- a/chutefork/consul.py
+++ b/chutefork/consul.py
@@ -76,15 +76,22 @@
 class BlockingQuery(ConsulClient):
     """Repeats one blocking query until `stopped` is set.
 
-    `on_result` gets the decoded JSON list whenever Consul's index has changed.
+    `on_result` gets the decoded JSON list whenever Consul's index has changed. `on_index_reset` is called
+    before it if the index has gone backwards: Consul has lost its state, as by a restart.
     """
 
     def __init__(
-        self, config: ConsulConfig, clock: CachedClockReactor, path: str, on_result: Callable[[list], None]
+        self,
+        config: ConsulConfig,
+        clock: CachedClockReactor,
+        path: str,
+        on_result: Callable[[list], None],
+        on_index_reset: Callable[[], None],
     ) -> None:
         super().__init__(config, clock)
         self.path = path
         self.on_result = on_result
+        self.on_index_reset = on_index_reset
         self.index = 0  # of the latest result
         self.wait_from_index = (
             0  # the next query blocks until Consul's index is above it; 0: it does not block
@@ -112,12 +119,14 @@
             raise TypeError("not a JSON list")
         if index <= 0:  # a query with index 0 does not block: it would be repeated without a pause
             raise ValueError(f"X-Consul-Index must be above 0, is {index}")
-        if index != self.index or not self.wait_from_index:
-            self.on_result(result)
-        # An index that goes backwards means that Consul has lost its state, as by a restart. A query with the
-        # old index would block until Consul's new index passed it, so the next query starts from 0.
-        self.wait_from_index = index if index >= self.index else 0
+        is_reset, may_have_changed = index < self.index, index != self.index or not self.wait_from_index
+        # After a reset a query from the old index would block until Consul's new index passed it.
+        self.wait_from_index = 0 if is_reset else index
         self.index = index
+        if is_reset:
+            self.on_index_reset()
+        if may_have_changed:
+            self.on_result(result)
         self.failures = 0
         if self.stream is not None and not self.stream.end_code:
             self.send_next_request()
--- a/chutefork/consul_membership.py
+++ b/chutefork/consul_membership.py
@@ -1,4 +1,8 @@
-"""Hub membership from Consul's catalogue and health endpoints, followed with blocking queries."""
+"""Hub membership from Consul's catalogue and health endpoints, followed with blocking queries.
+
+A Consul that has lost its state lists the hubs only as they register again. Until then the hubs that it
+listed before are kept: its empty list says nothing about them.
+"""
 
 from __future__ import annotations
 
@@ -12,9 +16,14 @@
 from .net.connection import log
 
 if TYPE_CHECKING:
+    from twisted.internet.interfaces import IDelayedCall
+
     from .net.clock import CachedClockReactor, UnixClock
     from .sip.settings import ConsulConfig
 
+# How long the other hubs have to register again, from the first one that Consul lists after it has lost its
+# state. Consul's agents repeat their registrations every few minutes.
+RETENTION_S = 600.0
 MAINTENANCE_CHECK_PREFIXES = ("_node_maintenance", "_service_maintenance:")
 STATE_BY_CHECK_STATUS = {
     "passing": SwitchState.READY,
@@ -38,14 +47,18 @@
         on_hub_list: Callable[[messages.HubsListed], None],
     ) -> None:
         name = quote(config.service, safe="")
+        self.clock = clock
         self.unix_clock = unix_clock
         self.on_hub_list = on_hub_list
         self.hubs_by_id: dict[str, messages.Hub] | None = None
         self.states_by_id: dict[str, SwitchState] | None = None
         self.published_hubs: tuple[messages.Hub, ...] | None = None
-        self.queries = (
-            BlockingQuery(config, clock, f"/v1/catalog/service/{name}", self.on_catalogue),
-            BlockingQuery(config, clock, f"/v1/health/service/{name}", self.on_health),
+        # Published before Consul lost its state, and not listed again since: by name.
+        self.retained_hubs: dict[str, messages.Hub] = {}
+        self.retention_timer: IDelayedCall | None = None
+        self.queries = tuple(
+            BlockingQuery(config, clock, f"/v1/{endpoint}/service/{name}", on_result, self.on_index_reset)
+            for endpoint, on_result in (("catalog", self.on_catalogue), ("health", self.on_health))
         )
 
     def start(self) -> None:
@@ -57,6 +70,7 @@
             query.stopped = True
             if query.stream is not None:
                 query.stream.close("leaving")
+        self.stop_retention_timer()
 
     def on_catalogue(self, result: list) -> None:
         hubs = {}
@@ -67,6 +81,8 @@
             except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
                 log(f"bad-endpoint detail={f'{type(error).__name__}: {error}'[:160]!r}")
         self.hubs_by_id = hubs
+        if hubs and self.retained_hubs and self.retention_timer is None:
+            self.retention_timer = self.clock.callLater(RETENTION_S, self.end_retention)
         self.publish_if_changed()
 
     def parse_hub(self, entry: dict) -> messages.Hub:
@@ -111,18 +127,42 @@
                 return state
         return SwitchState.READY
 
+    def on_index_reset(self) -> None:
+        """Keeps the hubs published so far until Consul, which has lost its state, lists them again."""
+        self.retained_hubs = {hub.name: hub for hub in self.published_hubs or ()}
+        log(f"note consul: index went backwards, {len(self.retained_hubs)} hubs kept until listed again")
+        self.stop_retention_timer()
+
+    def stop_retention_timer(self) -> None:
+        if self.retention_timer is not None and self.retention_timer.active():
+            self.retention_timer.cancel()
+        self.retention_timer = None
+
+    def end_retention(self) -> None:
+        """Gives up the hubs that have not registered again, unless the catalogue is still or again empty."""
+        self.retention_timer = None
+        if not self.hubs_by_id:
+            return
+        log(f"note consul: {len(self.retained_hubs)} hubs removed, not listed again in {RETENTION_S:.0f} s")
+        self.retained_hubs.clear()
+        self.publish_if_changed()
+
     def publish_if_changed(self) -> None:
         """Passes on the joined list if it has changed, once both queries have been answered.
 
-        While Consul is unreachable, the last list holds.
+        While Consul is unreachable, the last list holds. A hub that both answers contain is no longer kept
+        from before: whatever they say of it counts.
         """
         if self.hubs_by_id is None or self.states_by_id is None:
             return
-        hubs = tuple(
-            messages.Hub(hub.name, hub.number, self.states_by_id[name], hub.address, hub.started_at)
-            for name, hub in sorted(self.hubs_by_id.items())
-            if self.states_by_id.get(name, SwitchState.GONE) is not SwitchState.GONE
-        )
+        hubs_by_name = dict(self.retained_hubs)
+        for name, hub in self.hubs_by_id.items():
+            state = self.states_by_id.get(name)
+            if state is None:
+                continue
+            self.retained_hubs.pop(name, None)
+            hubs_by_name[name] = messages.Hub(hub.name, hub.number, state, hub.address, hub.started_at)
+        hubs = tuple(hub for _, hub in sorted(hubs_by_name.items()) if hub.state is not SwitchState.GONE)
         if hubs != self.published_hubs:
             self.published_hubs = hubs
             self.on_hub_list(messages.HubsListed(ListKind.COMPLETE, hubs))
--- a/tests/sip_harness.py
+++ b/tests/sip_harness.py
@@ -15,6 +15,7 @@
 from .platform_harness import ROOT, WAIT_TIMEOUT_S, Program, listening_socket, wait_until
 
 SDP = b"v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\n"
+ANSWER = b"v=0\r\no=- 2 2 IN IP4 127.0.0.1\r\ns=hub\r\n"
 
 
 class SipMessage:
@@ -324,13 +325,19 @@
             self.index = index or self.index + 1
             self.condition.notify_all()
 
-    def restarted(self, index):
-        """Ends this Consul; returns a new one at its address, with the same services and this index."""
+    def restarted(self, index, services):
+        """Ends this Consul; returns a new one at its address, with this index and these services."""
         self.close()
         new = FakeConsul(self.port)
-        new.wait_s, new.services, new.index = self.wait_s, dict(self.services), index
+        new.wait_s, new.services, new.index = self.wait_s, dict(services), index
         return new
 
+    def register(self, services):
+        with self.condition:
+            self.services.update(services)
+            self.index += 1
+            self.condition.notify_all()
+
     def remove_service(self, name):
         with self.condition:
             del self.services[name]
@@ -404,5 +411,20 @@
         self.address = host, int(port)
         return program
 
+    def establish_call(self, hub=None):
+        hub = hub or self.hub1
+        self.caller.send_invite()
+        self.invite = hub.expect("INVITE")
+        hub.reply(self.invite, 200, ANSWER)
+        self.answer = self.caller.expect(200)
+        self.caller.send_in_dialog("ACK", self.answer)
+        self.ack = hub.expect("ACK")
+
+    def expect_error(self, code):
+        answer = self.caller.expect(code)
+        self.caller.ack_error(answer)
+        self.caller.expect_silence()
+        return answer
+
     def tearDown(self):
         self.assertEqual(self.program.log_lines("fault "), [])
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -8,29 +8,12 @@
 import unittest
 
 from .platform_harness import ROOT, WAIT_TIMEOUT_S, PlatformCase, Program, wait_until
-from .sip_harness import SDP, CallerAgent, FakeConsul, SipEndpoint, SipTestCase
-
-ANSWER = b"v=0\r\no=- 2 2 IN IP4 127.0.0.1\r\ns=hub\r\n"
+from .sip_harness import ANSWER, SDP, CallerAgent, FakeConsul, SipEndpoint, SipTestCase
 
 
 class CallTests:
     """Tests that run over UDP and over TCP."""
 
-    def establish_call(self, hub=None):
-        hub = hub or self.hub1
-        self.caller.send_invite()
-        self.invite = hub.expect("INVITE")
-        hub.reply(self.invite, 200, ANSWER)
-        self.answer = self.caller.expect(200)
-        self.caller.send_in_dialog("ACK", self.answer)
-        self.ack = hub.expect("ACK")
-
-    def expect_error(self, code):
-        answer = self.caller.expect(code)
-        self.caller.ack_error(answer)
-        self.caller.expect_silence()
-        return answer
-
     def test_complete_call_from_invite_to_bye(self):
         self.caller.send_invite()
         self.assertEqual(self.caller.expect(100).get("To"), "<sip:100@127.0.0.1>")
