Let set-ups wait at the start until the command channel has confirmed the list

Callers saw: a controller that had just restarted sent a set-up to an exchange 0.55 s after its drain had been announced; the call is cut when that one stops. Cause: set-ups were routed by the list in `known` before the command channel had answered once (net/callers.py dispatch, __main__.py start); health checks did not wait for it either. Why it works: set-ups and health checks wait for the first answer, 1 s at most, and the first poll asks for a wait of 1 ms. The wait is taken off the call's time; a set-up with less than 1 s left is refused at once.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -50,15 +50,15 @@
             self.driver, self.frontend, clock, config.connect_timeout_s, config.idle_close_s
         )
         self.driver.attach(self.frontend, self.backend)
-        self.channel = Channel(config.channel_address, config.initial_cursor, self.apply_commands, clock)
+        self.channel = Channel(config.channel_address, config.initial_cursor, self.on_channel_answer, clock)
 
     def start(self) -> None:
-        self.backend.on_all_tried = self.frontend.set_ready
+        self.backend.on_all_tried = self.frontend.on_exchanges_tried
         self.apply_commands(self.config.initial_commands)
         self.channel.connect()
         host, port = self.config.listen
         self.listening_port = self.clock.listenTCP(port, self.frontend.factory, backlog=512, interface=host)
-        self.frontend.close_idle_connections()
+        self.frontend.start()
         self.backend.check_silences()
         log(f"serving name={self.config.name} listen={host}:{self.listening_port.getHost().port}")
 
@@ -80,6 +80,11 @@
         if moved:
             self.channel.move(config.channel_address)
 
+    def on_channel_answer(self, commands: list) -> None:
+        """Applies the commands of an answer, after which the list of exchanges is confirmed."""
+        self.apply_commands(commands)
+        self.frontend.confirm_list()
+
     def apply_commands(self, commands: list) -> None:
         """Passes the exchange lists among the commands to the reducer."""
         for command in commands:
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from twisted.internet.protocol import Factory
@@ -40,6 +41,9 @@
 DESCRIPTION_MEMORY_SHARE = 1 / 8  # of the memory, for the descriptions of unanswered set-ups
 FRAME_OVERHEAD_BYTES = 64  # of a set-up in an exchange's frame, besides its texts
 MAX_WAITING_CHECKS = 64  # health checks that come before the program is ready
+# At the start, how long set-ups wait for the command channel to confirm the list of exchanges. Without it a
+# set-up could go to an exchange whose drain was announced just before the start.
+MAX_LIST_WAIT_S = 1.0
 MAX_UNSENT_RELEASES = 10_000
 
 
@@ -60,7 +64,8 @@
         self.frontend = frontend
         self.clock = frontend.clock
         self.unanswered: dict[int, str] = {}  # set-ups without a final answer: call -> uid as written
-        self.undispatched: dict[int, messages.Arrival] = {}  # those of them not yet passed to the core
+        # those of them not yet passed to the core: call -> set-up, when it was received
+        self.undispatched: dict[int, tuple[messages.Arrival, int]] = {}
         self.used = False  # a usable message has come
         self.calls_carried = 0  # calls established for this connection
         self.bad_setups = 0
@@ -86,10 +91,20 @@
     def dispatch(self) -> None:
         """Passes set-ups to the core once all input that arrived with them is processed.
 
-        Many are withdrawn in the same input, and those are then never sent to an exchange.
+        Many are withdrawn in the same input, and those are then never sent to an exchange. At the start
+        set-ups also wait until the list of exchanges is confirmed.
         """
-        while self.undispatched and not self.processing_input and not self.end_code:
-            self.frontend.driver.post(self.undispatched.pop(next(iter(self.undispatched))))
+        while (
+            self.undispatched
+            and self.frontend.list_confirmed
+            and not self.processing_input
+            and not self.end_code
+        ):
+            arrival, received_at = self.undispatched.pop(next(iter(self.undispatched)))
+            waited_us = self.clock.now_us() - received_at
+            if waited_us:
+                arrival = replace(arrival, time_left_us=max(arrival.time_left_us - waited_us, 0))
+            self.frontend.driver.post(arrival)
 
     def send(self, data: bytes) -> bool:
         if (
@@ -184,7 +199,8 @@
         wait_ms = round(config.settings.max_hold_off_s * 1000) if config.settings.hold_off_allowed else 0
         self.overload_meta = {"wait": str(wait_ms)} if wait_ms else {}  # for refusals by the limits here
         self.eviction_scheduled_at = 0  # event-loop iteration that scheduled the pending eviction; 0: none
-        self.ready = False
+        self.exchanges_tried = False  # a connection to each listed exchange has been tried
+        self.list_confirmed = False  # by the command channel, or the wait for it is over
         self.shutting_down = False
         self.waiting_checks: list[tuple[CallerProtocol, str]] = []  # received before the program was ready
         self.factory = Factory.forProtocol(lambda: CallerProtocol(self))
@@ -193,17 +209,40 @@
     def check(self, connection: CallerProtocol, uid: str) -> None:
         """Answers a health check.
 
-        Waits with the answer until the list of exchanges is known and a connection to each of them has been
-        tried.
+        Waits with the answer until the list of exchanges is confirmed and a connection to each of them has
+        been tried.
         """
-        if self.ready:
+        if self.exchanges_tried and self.list_confirmed:
             connection.send(encode_line("checked", uid, reason=0 if self.shutting_down else 1))
         elif len(self.waiting_checks) < MAX_WAITING_CHECKS:
             self.waiting_checks.append((connection, uid))
 
-    def set_ready(self) -> None:
-        """Answers the waiting health checks, and later ones at once."""
-        self.ready = True
+    def start(self) -> None:
+        """Starts the wait for the list of exchanges and the checks for idle connections."""
+        self.clock.callLater(MAX_LIST_WAIT_S, self.end_list_wait)
+        self.close_idle_connections()
+
+    def end_list_wait(self) -> None:
+        if not self.list_confirmed:
+            log(f"note list of exchanges not confirmed by the channel in {MAX_LIST_WAIT_S * 1000:.0f} ms")
+            self.confirm_list()
+
+    def confirm_list(self) -> None:
+        """Passes the set-ups that have waited for this to the core; does nothing after the first call."""
+        if self.list_confirmed:
+            return
+        self.list_confirmed = True
+        for connection in list(self.connections):
+            connection.dispatch()
+        self.answer_waiting_checks()
+
+    def on_exchanges_tried(self) -> None:
+        """Notes that a connection to each listed exchange has been tried."""
+        self.exchanges_tried = True
+        self.answer_waiting_checks()
+
+    def answer_waiting_checks(self) -> None:
+        """Answers the waiting health checks if the program is ready; else they wait on."""
         checks, self.waiting_checks = self.waiting_checks, []
         for connection, uid in checks:
             self.check(connection, uid)
@@ -310,14 +349,16 @@
             len(connection.unanswered) >= MAX_UNANSWERED_PER_CONNECTION
             or len(self.unanswered) >= self.max_unanswered
             or len(texts[2]) > self.description_room
-        ):  # Limits the memory that thousands of set-ups can take.
+            or not self.list_confirmed
+            and arrival.time_left_us < MAX_LIST_WAIT_S * 1e6
+        ):  # Limits the memory that thousands of set-ups can take, and leaves time to answer after a wait.
             connection.send(encode_line("stop", uid, self.overload_meta, reason=CAUSE_NO_CIRCUIT))
             return
         self.unanswered[call] = connection
         connection.unanswered[call] = uid
         self.setup_texts[call] = texts
         self.description_room -= len(texts[2])
-        connection.undispatched[call] = arrival
+        connection.undispatched[call] = arrival, self.clock.now_us()
         connection.dispatch()
 
     def parse_setup(self, call: int, record: dict) -> tuple[messages.Arrival, tuple[str, str, str]]:
--- a/chutefork/net/channel.py
+++ b/chutefork/net/channel.py
@@ -21,6 +21,7 @@
 # Changes take effect two seconds after their publication. A poll is short, and a reconnect immediate, so that
 # a broken connection is noticed and replaced well before that.
 POLL_MS = 1000
+FIRST_POLL_MS = 1  # of the polls until the first answer: it confirms the list, on which set-ups wait
 OVERDUE_AFTER_S = POLL_MS / 1000 + 0.6  # without any answer for so long, one more connection polls
 MAX_OPEN_POLLS = 6  # beyond it the latest poll is replaced: the earlier ones wait for answers that are late
 ANSWER_TIMEOUT_S = 30.0  # without an answer by then the connection of a poll is closed
@@ -52,7 +53,8 @@
 
     def poll(self) -> None:
         self.asked_at = self.channel.clock.now_us()
-        path = f"/cmd/next?resume={self.channel.cursor}&block={POLL_MS}"
+        wait_ms = POLL_MS if self.channel.has_answered else FIRST_POLL_MS
+        path = f"/cmd/next?resume={self.channel.cursor}&block={wait_ms}"
         self.stream.request("GET", path, ANSWER_TIMEOUT_S)
 
     def on_response(self, status: int, headers: dict[str, str], body: bytes) -> None:
@@ -103,6 +105,7 @@
         self.on_commands = on_commands
         self.clock = clock
         self.failures = 0  # in a row
+        self.has_answered = False  # at least once
         self.answers_are_late = False  # whether the latest one was
         self.polls: list[PollConnection] = []  # in the order in which they were opened
         self.next_poll_timer: IDelayedCall | None = None  # opens one more connection when it is due
@@ -139,7 +142,7 @@
 
         An answer in time shows that this connection works as it should: no other is needed.
         """
-        self.failures = 0
+        self.failures, self.has_answered = 0, True
         if late_us <= 0:
             self.keep_only(poll)
         if (late_us > 0) != self.answers_are_late:
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -355,7 +355,9 @@
         self.exchange1.answer(uid)
         self.assertEqual(caller.read()["kind"], "running")
 
-    def start(self, list_known=True, settings=None, env=None, limits=None):
+    def start(self, known_events=None, settings=None, env=None, limits=None):
+        """Starts the program with the channel's first `known_events` events, by default all, in `known`."""
+        known = self.channel.events[:known_events]
         self.listen = ("127.0.0.1", 0)
         config = {
             "name": "n0",
@@ -364,8 +366,8 @@
             "channel": socket_address(self.channel.sock),
             "settings": settings or SETTINGS,
             "known": {
-                "cursor": len(self.channel.events) if list_known else 0,
-                "cmds": self.channel.events if list_known else [],
+                "cursor": len(known),
+                "cmds": known,
             },
             "limits": limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         }
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -327,7 +327,7 @@
 
     def test_check_is_answered_only_once_the_list_of_exchanges_is_known(self):
         self.channel.events.clear()
-        program = self.start(list_known=False)
+        program = self.start(known_events=0)
         caller = self.caller()
         caller.send(kind="check", uid="", meta={}, reason=0)
         self.assertTrue(caller.receives_nothing(0.3))
