Stop retransmitting the INVITE of an attempt that is given up

Callers saw: nothing; two hubs had an attempt of one call at once, when the first one's process came back after its attempt had been given up. Cause: Leg.abandon (sip/backend.py) left timer A of the INVITE running, for up to 32 s, while it waited for a response to send the CANCEL after. The new test gets the INVITE again after 1.24 s without it. Why it works: without a retransmission an INVITE that was lost never arrives; one that did arrive is answered, and the answer is followed by the CANCEL as before.

--- a/chutefork/sip/backend.py
+++ b/chutefork/sip/backend.py
@@ -188,6 +188,9 @@
         self.cancel_pending = True
         if self.any_response:
             self.send_cancel()
+        else:
+            # A retransmission could reach the hub as a new attempt, beside the next one elsewhere.
+            self.invite.stop_retransmissions()
 
     def send_cancel(self) -> None:
         """Sends one CANCEL. Must not be called before a provisional response has come (RFC 3261 9.1)."""
--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -192,9 +192,9 @@
         )
 
     def stop_retransmissions(self) -> None:
-        """Stops timer A, for a hub that drains.
+        """Stops timer A, for a hub that drains and for an attempt that is given up.
 
-        If no INVITE has reached it, a retransmission would be a new call there.
+        If no INVITE has reached the hub, a retransmission would be a new call there.
         """
         self.stop_timers("A")
 
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -312,6 +312,16 @@
 class UdpCallTests(CallTests, SipTestCase):
     transport = "UDP"
 
+    def test_invite_of_an_attempt_that_was_given_up_is_not_retransmitted(self):
+        # Guards against two attempts of one call at once: a hub that returns would take the INVITE as new.
+        self.caller.send_invite()
+        self.hub1.expect("INVITE")
+        self.hub2.expect("INVITE")
+        self.hub1.expect_silence(0.02)
+        self.hub1.retransmissions.clear()
+        self.hub1.expect_silence(1.0)
+        self.assertEqual(self.hub1.retransmissions, [])
+
     def test_retransmissions_to_draining_hub_stop(self):
         self.caller.send_invite(extra=("Expires: 1",))
         self.hub1.expect("INVITE")
