Accept only decimal digits where a number is read from text

Callers saw: an INVITE to the number `1%c2%b2` got no final response, and after 4,000 of them every INVITE got 503 until a restart. Cause: SipFrontend.invite_received (sip/frontend.py) took the characters for which isdigit holds; int() refuses some, after the call had been entered. Evidence: without the change the new test finds no INVITE at the hub and a line `fault type=ValueError at=.../frontend.py`. Why it works: isdecimal holds for what int() reads. The call is entered once all its fields are read. Related: the X-Transit header, ports in the configuration, and Content-Length in HTTP responses had the same test.

--- a/chutefork/config.py
+++ b/chutefork/config.py
@@ -88,7 +88,7 @@
 def parse_address(text: str, key: str) -> tuple[str, int]:
     """Splits `host:port`; port 0 is allowed. Anything else raises ConfigError, naming `key`."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
         raise ConfigError(f"{key}: not of the form host:port: {text!r}")
     return host, int(port)
 
--- a/chutefork/net/http.py
+++ b/chutefork/net/http.py
@@ -111,7 +111,7 @@
             self.state = "status"
         elif self.headers.get("transfer-encoding", "").lower() == "chunked":
             self.chunked, self.state = True, "chunk-size"
-        elif length.isdigit() and int(length):
+        elif length.isdecimal() and int(length):
             self.start_part(int(length))
         elif length == "0" or self.status in (204, 304):
             self.response_complete()
--- a/chutefork/sip/frontend.py
+++ b/chutefork/sip/frontend.py
@@ -185,24 +185,24 @@
         time_left_us = round(call_class.deadline_s * 1e6)
         if request.expires is not None and request.expires > 0:
             time_left_us = min(time_left_us, request.expires * 1_000_000)
-        self.unanswered[call] = SipCall(self, call, server, call_request)
-        self.by_transaction[server] = call
-        digits = "".join(char for char in number if char.isdigit())[-18:]
+        # isdecimal: isdigit holds for characters such as a superscript too, which int() refuses
+        digits = "".join(char for char in number if char.isdecimal())[-18:]
         transit_value = request.headers.get(TRANSIT_HEADER, "")
-        in_transit = server.source.host in self.config.peers and transit_value.isdigit()
-        self.driver.post(
-            messages.Arrival(
-                call,
-                route.class_index,
-                call_class.width_circuits,
-                time_left_us,
-                route.tenant,
-                int(digits or 0),
-                route.destination,
-                in_transit,
-                advice=int(transit_value[:9]) if in_transit else -1,
-            )
+        in_transit = server.source.host in self.config.peers and transit_value.isdecimal()
+        arrival = messages.Arrival(
+            call,
+            route.class_index,
+            call_class.width_circuits,
+            time_left_us,
+            route.tenant,
+            int(digits or 0),
+            route.destination,
+            in_transit,
+            advice=int(transit_value[:9]) if in_transit else -1,
         )
+        self.unanswered[call] = SipCall(self, call, server, call_request)
+        self.by_transaction[server] = call
+        self.driver.post(arrival)
 
     def cancel_received(self, server: ServerTransaction) -> None:
         call = self.by_transaction.get(server)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from chutefork.config import ConfigError, parse_address
+
 from .controller_harness import CLASS, SETTINGS
 
 
@@ -47,3 +49,9 @@
 def test_the_pools_form_needs_pools_for_every_class():
     with pytest.raises(ValueError, match="pools"):
         replace(SETTINGS, pools_form=True, own_number=-1)
+
+
+def test_a_port_of_digits_that_are_not_decimal_raises_an_error_that_names_the_key():
+    # Guards against a start that ends with a traceback in place of the key at fault.
+    with pytest.raises(ConfigError, match="listen"):
+        parse_address("127.0.0.1:²", "listen")
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -222,6 +222,12 @@
         self.caller.send_in_dialog("ACK", answer, body=SDP)
         self.assertEqual(self.hub1.expect("ACK").body, SDP)
 
+    def test_number_with_a_digit_that_is_not_decimal_is_served_like_any_other(self):
+        # Guards against an exception that leaves the call unanswered, and its place taken for good.
+        self.caller.send_invite(number="1%c2%b2")
+        self.hub1.reply(self.hub1.expect("INVITE"), 486)
+        self.expect_error(486)
+
     def test_rejected_requests_and_options_get_matching_status_codes(self):
         for method, code, options in (
             ("INVITE", 404, {"number": "999"}),
