Carry out each effect on its own, and report SIP messages that cannot be sent

Callers saw: when a hub left while one caller's Contact had port 70000, the other callers' calls there got no BYE; at SIGTERM the program did not exit. Cause: SipTransport.send (sip/transport.py) let OverflowError, and ValueError for a host name, through. Driver.run (net/driver.py) skipped all effects of an event after the first exception. Evidence: without the change the new test gets no BYE over UDP, and the log has `fault type=OverflowError at=.../udp.py`. Over TCP the BYE goes on the caller's own connection; the test passes there before as well. Why it works: such a message counts as failed, like one that is too large; an exception in one effect is logged and no longer skips those of other calls. Result: the test fails over UDP before the change and passes with it on both.

--- a/chutefork/net/driver.py
+++ b/chutefork/net/driver.py
@@ -73,17 +73,28 @@
         self.running = True
         try:
             while self.pending_events:
-                event = self.pending_events.popleft()
-                try:
-                    for effect in reduce(self.state, event, self.clock.now_us()):
-                        self.handlers[type(effect)](effect)
-                except Exception:
-                    # An exception in one call must not affect the others. That call still gets its final
-                    # answer, from the timer that was set when it was accepted.
-                    logger.failure("event {event!r}", event=type(event).__name__)
+                self.process(self.pending_events.popleft())
         finally:
             self.running = False
 
+    def process(self, event: messages.Event) -> None:
+        """Applies one event and carries out its effects.
+
+        An exception in one call must not affect the others: it is logged, and the other effects are still
+        carried out. A call that it leaves without a final answer gets one from the timer that was set when
+        it was accepted.
+        """
+        try:
+            effects = reduce(self.state, event, self.clock.now_us())
+        except Exception:
+            logger.failure("event {event!r}", event=type(event).__name__)
+            return
+        for effect in effects:
+            try:
+                self.handlers[type(effect)](effect)
+            except Exception:
+                logger.failure("effect {effect!r}", effect=type(effect).__name__)
+
     def wake_at(self, effect: messages.WakeAt) -> None:
         """Sets the one wake-up timer, replacing the time set before; the reducer gets WakeUpDue then."""
         delay_s = max(effect.at - self.clock.now_us(), 0) / 1e6
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -290,9 +290,9 @@
         if target.transport == "UDP":
             try:
                 self.udp.protocol.transport.write(data, (target.host, target.port))
-            except (OSError, error.MessageLengthError):
-                if on_failure is not None:
-                    self.clock.callLater(0, on_failure)
+            except (OSError, ValueError, OverflowError, error.MessageLengthError) as exc:
+                # ValueError: the host is not an IPv4 address; OverflowError: the port is out of range
+                self.fail_later(target, f"not sent: {type(exc).__name__}: {exc}", on_failure)
             return
         stream = target.stream
         if stream is not None and stream in self.streams and not stream.end_code:
@@ -308,13 +308,21 @@
                 return
         queue = self.queued.setdefault(address, [])
         if len(queue) >= MAX_QUEUED_MESSAGES:
-            if on_failure is not None:
-                self.clock.callLater(0, on_failure)
+            self.fail_later(target, "not sent: too many messages wait for its connection", on_failure)
+            return
+        if not 0 < target.port < 65536:
+            self.fail_later(target, "not sent: port out of range", on_failure)
             return
         queue.append((data, on_failure))
         if len(queue) == 1 and not usable:  # a blocked connection sends its queue later
             self.clock.connectTCP(*address, _OutboundFactory(self, address), timeout=self.connect_timeout_s)
 
+    def fail_later(self, target: Target, detail: str, on_failure: Callable[[], None] | None) -> None:
+        """Logs that a message could not be sent, and has `on_failure` called once its sender is done."""
+        self.drop(f"{target.host}:{target.port}", detail)
+        if on_failure is not None:
+            self.clock.callLater(0, on_failure)
+
     def fail_queued(self, address: tuple[str, int]) -> None:
         """Reports the failure of all messages queued for an address whose connection failed or ended."""
         for _, on_failure in self.queued.pop(address, []):
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -222,6 +222,22 @@
         self.caller.send_in_dialog("ACK", answer, body=SDP)
         self.assertEqual(self.hub1.expect("ACK").body, SDP)
 
+    def test_contact_that_cannot_be_reached_affects_no_other_call_and_not_the_exit(self):
+        # Guards against an exception in one call's BYE that leaves the other calls without theirs.
+        for address in (("127.0.0.1", 70000), ("no-such-host.invalid", 5060)):
+            other = self.endpoint(CallerAgent).connect(self.address)
+            other.address = address
+            other.send_invite()
+            invite = self.hub1.expect("INVITE")
+            self.hub1.reply(invite, 200, ANSWER)
+            other.send_in_dialog("ACK", other.expect(200))
+            self.hub1.expect("ACK")
+        self.establish_call()
+        self.consul.remove_service("hub-1")
+        self.caller.reply(self.caller.expect("BYE"), 200)
+        self.program.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.program.wait_for_exit(), 0)
+
     def test_number_with_a_digit_that_is_not_decimal_is_served_like_any_other(self):
         # Guards against an exception that leaves the call unanswered, and its place taken for good.
         self.caller.send_invite(number="1%c2%b2")
