Notice a quiet exchange's silence within 5 s while calls are established there

Callers saw: a call at an exchange that vanished after 13 s without a frame was released 10.4 s after its end; 8 s are allowed. Cause: is_silent (net/exchanges.py) doubles its limit with each renewal in a row, up to 48 s, also where only established calls wait. Why it works: the limit is 5 s at most in that state, and two failed connection attempts more make the exchange unreachable, under 8 s in all.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -51,6 +51,9 @@
 SILENCE_GAPS = 40
 # Minimum and maximum of that limit; the maximum also holds for the limit from the answer timeout.
 SILENCE_LIMITS_US = (150_000, 1_500_000)
+# Maximum with established calls and no pending set-up, after doublings. With the time to find the exchange
+# unreachable, callers learn within 8 s that their calls there are over.
+MAX_ESTABLISHED_SILENCE_US = 5_000_000
 ANSWER_TIME_WINDOW = 16  # answers over which their time and its deviation are smoothed
 MAX_IDLE_SHARE = 0.9  # of the time after which exchanges close idle connections
 MAX_QUEUED_RELEASES = 10_000
@@ -115,7 +118,7 @@
         This counts while a set-up is pending on it or calls are established at the exchange. A set-up that
         was overdue already when the last frame came does not count: its answer alone is lost, which says
         nothing about the connection. The limit doubles with each connection in a row that was closed as
-        silent, up to five times.
+        silent, up to five times; with established calls only it is at most MAX_ESTABLISHED_SILENCE_US.
         """
         (min_us, max_us), doublings = SILENCE_LIMITS_US, min(self.link.consecutive_silences, 5)
         gap_limit_us = (
@@ -134,7 +137,8 @@
         if waiting_since is None and not self.link.backend.has_established_calls(self.link.hub.name):
             return False
         if waiting_since is None:
-            waiting_since, limit_us = 0, gap_limit_us << doublings
+            waiting_since = 0
+            limit_us = min(gap_limit_us << doublings, MAX_ESTABLISHED_SILENCE_US)
         return now - max(waiting_since, self.last_frame_at) > limit_us
 
     def resumeProducing(self) -> None:  # noqa: N802
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -154,6 +154,16 @@
         self.assertEqual(caller.read()["kind"], "running")
         self.assertEqual(len(self.program.wait_log("end role=exchange", "code=silent")), 1)
 
+    def test_quiet_connection_with_an_established_call_is_renewed_at_least_every_five_seconds(self):
+        # Guards against an exchange that vanishes after a quiet time, whose calls are released too late.
+        self.establish_call(self.caller())
+        renewed_at = [time.monotonic()]
+        for _ in range(3):
+            self.exchange1.accept()
+            renewed_at.append(time.monotonic())
+        gaps = [later - earlier for earlier, later in zip(renewed_at, renewed_at[1:], strict=False)]
+        self.assertLess(max(gaps), 5.5, gaps)
+
     def test_silence_is_detected_sooner_after_fast_answers_and_not_from_one_lost_answer(self):
         caller = self.caller()
         for number in range(6):
