Send releases again that a connection may have lost when it ended

Callers saw: nothing; calls that they had hung up while an exchange was cut off stood on at the exchange until their own end. Cause: ExchangeLink.release (net/exchanges.py) queued only what could not be written, and a silent connection takes everything. Why it works: releases are remembered until `release heard`, or until a frame that comes 1 s later shows that they have arrived, and the others are sent on the next connection. The queue holds calls in place of encoded frames. Result: the test fails before the change and passes with it, as do 31 tests of connections and membership.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -22,7 +22,7 @@
 
 # Message types
 SETUP, PROGRESS, ANSWER, RELEASE, RELEASE_COMPLETE, STATE, TEST, TEST_PASSED = 1, 6, 9, 12, 16, 43, 52, 53
-IGNORED_TYPES = {PROGRESS, RELEASE_COMPLETE, TEST_PASSED}
+IGNORED_TYPES = {PROGRESS, TEST_PASSED}
 # Parameter codes
 CLASS, TIME_LEFT, NUMBER, NOTE, RETRY_AFTER, GROUP, CAUSE, DESCRIPTION = 16, 19, 28, 37, 40, 43, 58, 61
 NORMAL_CLEARING = 16  # the cause in releases sent to exchanges
@@ -57,6 +57,10 @@
 ANSWER_TIME_WINDOW = 16  # answers over which their time and its deviation are smoothed
 MAX_IDLE_SHARE = 0.9  # of the time after which exchanges close idle connections
 MAX_QUEUED_RELEASES = 10_000
+# A frame from an exchange shows that releases sent so long before it have arrived.
+RELEASE_CONFIRMED_AFTER_US = 1_000_000
+# Ends of a connection with which what was sent last may be lost
+UNEXPECTED_END_CODES = {"silent", "peer-closed", "peer-reset", "io-error"}
 RETRY_DELAYS_US = (50_000, 200_000, 500_000, 1_000_000)  # after the first, second, ... failure in a row
 
 
@@ -105,6 +109,8 @@
         self.link = link
         self.clock = link.clock
         self.pending_setups: dict[int, int] = {}  # set-ups sent here and not completed: call -> when sent
+        # releases sent here that may not have arrived: call -> when sent, oldest first
+        self.unconfirmed_releases: dict[int, int] = {}
         self.peer = f"{link.hub.name}@{link.hub.address}"
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -141,6 +147,21 @@
             limit_us = min(gap_limit_us << doublings, MAX_ESTABLISHED_SILENCE_US)
         return now - max(waiting_since, self.last_frame_at) > limit_us
 
+    def send_release(self, call: int) -> bool:
+        """Sends a release and remembers it until it is confirmed; False as for `send`."""
+        if not self.send(encode_release(call)):
+            return False
+        if len(self.unconfirmed_releases) < MAX_QUEUED_RELEASES:
+            self.unconfirmed_releases[call] = self.clock.now_us()
+        return True
+
+    def confirm_releases(self, now: int) -> None:
+        """Forgets the releases that have arrived, as a frame received now shows."""
+        for call, sent_at in list(self.unconfirmed_releases.items()):
+            if sent_at > now - RELEASE_CONFIRMED_AFTER_US:
+                break
+            del self.unconfirmed_releases[call]
+
     def resumeProducing(self) -> None:  # noqa: N802
         super().resumeProducing()
         self.link.flush()
@@ -152,6 +173,7 @@
         now = self.clock.now_us()
         self.mean_gap_us += (now - self.last_frame_at - self.mean_gap_us) / min(self.messages_received, 50)
         self.last_frame_at = self.link.last_frame_at = now
+        self.confirm_releases(now)
         try:
             kind, call, parameters = decode_frame(string)
             self.link.frame_received(kind, call, parameters)
@@ -193,7 +215,7 @@
         self.retry_timer = None
         # waiting for the connection: call -> set-up, when queued
         self.queued_setups: dict[int, tuple[messages.SetUp, int]] = {}
-        self.queued_releases: list[bytes] = []
+        self.queued_releases: list[int] = []  # calls
         self.last_frame_at = self.clock.now_us()
         # connections in a row closed as silent; from the second on the exchange itself counts as silent
         self.consecutive_silences = 0
@@ -214,8 +236,8 @@
         if not self.keep_connection or self.address != self.hub.address:
             connection.close("let-go")
             return
-        for data in self.queued_releases:
-            connection.send(data)
+        for call in self.queued_releases:
+            connection.send_release(call)
         self.queued_releases.clear()
         self.flush()
 
@@ -260,6 +282,9 @@
             self.connection = None
             if self.keep_connection and self.retry_timer is None and not self.connecting:
                 self.retry_timer = self.clock.callLater(RETRY_DELAYS_US[0] / 1e6, self.connect)
+        if connection.end_code in UNEXPECTED_END_CODES:
+            for call in connection.unconfirmed_releases:
+                self.queue_release(call)
         pending, connection.pending_setups = connection.pending_setups, {}
         # One broken connection says nothing about the exchange. If the next one is silent too, the exchange
         # itself does not answer.
@@ -271,7 +296,7 @@
         for call in pending:
             # The call may be established at the exchange although its answer was corrupted or lost on the
             # way; without a release it would stay up there.
-            self.queue_release(encode_release(call))
+            self.queue_release(call)
             self.backend.driver.post(messages.AttemptEnded(call, self.hub.name, outcome))
 
     def check_silence(self, now: int) -> None:
@@ -350,15 +375,15 @@
     def release(self, effect: messages.Release) -> None:
         if self.queued_setups.pop(effect.call, None) is not None:
             return
-        data = encode_release(effect.call)
-        if self.connection is None or not self.connection.send(data):
-            self.queue_release(data)
+        if self.connection is None or not self.connection.send_release(effect.call):
+            self.queue_release(effect.call)
         if self.connection is not None:
             self.connection.pending_setups.pop(effect.call, None)
 
-    def queue_release(self, data: bytes) -> None:
+    def queue_release(self, call: int) -> None:
+        """Has the call released on the next connection."""
         if len(self.queued_releases) < MAX_QUEUED_RELEASES:
-            self.queued_releases.append(data)
+            self.queued_releases.append(call)
 
     def setup_completed(self, call: int, answered: bool = False) -> None:
         """Counts a set-up as no longer pending, and the time to its answer if it was answered."""
@@ -426,6 +451,8 @@
                 if not (math.isfinite(free) and 0 <= total < math.inf):
                     raise ValueError(f"group state out of range: {text[:40]!r}")
                 post(messages.GroupStateReported(name, free, total))
+        elif kind == RELEASE_COMPLETE:
+            self.connection.unconfirmed_releases.pop(call, None)
         elif kind not in IGNORED_TYPES:
             # A corrupted frame must not be ignored as an unknown message type: on a connection where one
             # occurred, no valid frame followed.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -154,6 +154,20 @@
         self.assertEqual(caller.read()["kind"], "running")
         self.assertEqual(len(self.program.wait_log("end role=exchange", "code=silent")), 1)
 
+    def test_release_that_a_silent_connection_may_have_lost_is_sent_again_on_the_next_one(self):
+        # Guards against calls that stay up at an exchange that was cut off when their callers hung up.
+        caller = self.caller()
+        for uid in (A, B, C):
+            self.establish_call(caller, uid)
+        for uid in (A, B):
+            caller.send(kind="stop", uid=uid, meta={}, reason=16)
+            self.assertEqual(self.exchange1.read()[:2], (12, uid))
+        self.exchange1.send(16, B)  # heard: it need not be sent again
+        self.exchange1.accept()  # C stands there, so the silence is noticed
+        self.assertEqual(self.exchange1.read()[:2], (12, A))
+        caller.launch(B[:-1] + "9")
+        self.assertEqual(self.exchange1.read()[0], 1)
+
     def test_quiet_connection_with_an_established_call_is_renewed_at_least_every_five_seconds(self):
         # Guards against an exchange that vanishes after a quiet time, whose calls are released too late.
         self.establish_call(self.caller())
