Forget an unconfirmed release once its call is set up again at that exchange

A call can be tried twice at one exchange; the repeated release of the first attempt then cut the second one, which stood (net/exchanges.py). Why it works: with the set-up sent, the release of the earlier attempt has no use.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -371,6 +371,8 @@
             )
             return
         self.connection.last_setup_at = self.connection.pending_setups[effect.call] = self.clock.now_us()
+        # A release of an earlier attempt, sent again, would end this one.
+        self.connection.unconfirmed_releases.pop(effect.call, None)
 
     def release(self, effect: messages.Release) -> None:
         if self.queued_setups.pop(effect.call, None) is not None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -168,6 +168,22 @@
         caller.launch(B[:-1] + "9")
         self.assertEqual(self.exchange1.read()[0], 1)
 
+    def test_release_of_an_earlier_attempt_is_not_sent_again_once_its_call_is_established_there(self):
+        # Guards against a release, repeated on the next connection, that ends the call that stands by then.
+        caller = self.caller()
+        for _ in range(60):  # frames so close that silence is found soon
+            self.exchange1.send(43, A, (43, b"idle:5;circuits:9"))
+        caller.launch(A, left=2400)
+        self.exchange1.read()
+        self.exchange1.accept()  # the first connection was silent
+        self.assertEqual(self.exchange1.read()[:2], (12, A))
+        self.assertEqual(self.exchange1.read()[:2], (1, A))
+        self.exchange1.answer(A)
+        self.assertEqual(caller.read()["kind"], "running")
+        self.exchange1.accept()  # the second one is silent as well
+        caller.launch(B)
+        self.assertEqual(self.exchange1.read()[:2], (1, B))
+
     def test_quiet_connection_with_an_established_call_is_renewed_at_least_every_five_seconds(self):
         # Guards against an exchange that vanishes after a quiet time, whose calls are released too late.
         self.establish_call(self.caller())
