Let the tests' set-up wait until the list of exchanges is confirmed

Seen: test_set_ups_with_too_little_time_left_do_not_block_an_exchange failed once in a run of the whole suite (214 others passed); its first set-up never came to the exchange. Cause: since a set-up with less than 1 s left is refused until the command channel has answered once. That test and test_unanswered_set_up_is_refused_before_its_deadline_... send such set-ups within milliseconds of the start, which no front does before a check has passed. The harness now waits for the second poll before each test, which shows that the first answer has been processed. No check is changed.

--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -342,6 +342,8 @@
         self.program = self.start()
         self.exchange1.accept()
         self.exchange2.accept()
+        # The second poll shows that the first answer has confirmed the list, for which set-ups wait.
+        wait_until(lambda: self.channel.polls >= 2, "the second poll")
 
     def exchange(self, name, number, address=("127.0.0.1", 0)):
         created = Exchange(name, number, address)
