Move the exchanges' frames into a module of their own, with typed messages

Change: net/frames.py has MessageType, ParameterCode and Frame; the link has one method for each message type. Behaviour is meant to be the same.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import struct
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -14,19 +13,14 @@
 from ..core import messages
 from ..interface import Outcome, Reason
 from .connection import CONTROL_CHARACTERS, MAX_MESSAGE_BYTES, Connection, log
+from .frames import Frame, MessageType, ParameterCode, decode_frame, encode_frame, encode_release
 
 if TYPE_CHECKING:
     from .callers import CallerFrontend
     from .clock import CachedClockReactor
     from .driver import Driver
 
-# Message types
-SETUP, PROGRESS, ANSWER, RELEASE, RELEASE_COMPLETE, STATE, TEST, TEST_PASSED = 1, 6, 9, 12, 16, 43, 52, 53
-IGNORED_TYPES = {PROGRESS, TEST_PASSED}
-# Parameter codes
-CLASS, TIME_LEFT, NUMBER, NOTE, RETRY_AFTER, GROUP, CAUSE, DESCRIPTION = 16, 19, 28, 37, 40, 43, 58, 61
-NORMAL_CLEARING = 16  # the cause in releases sent to exchanges
-
+IGNORED_TYPES = {MessageType.PROGRESS, MessageType.TEST_PASSED}
 # Cause numbers and notes in releases from exchanges
 OUTCOME_BY_CAUSE = {
     34: Outcome.REJECTED,
@@ -64,38 +58,6 @@
 RETRY_DELAYS_US = (50_000, 200_000, 500_000, 1_000_000)  # after the first, second, ... failure in a row
 
 
-def encode_frame(kind: int, call: int, parameters: list[tuple[int, bytes]]) -> bytes:
-    """A whole frame, its 16-bit length included; `kind` is the message type."""
-    body = b"".join(struct.pack("!BH", code, len(value)) + value for code, value in parameters)
-    return struct.pack("!HBQ", 9 + len(body), kind, call) + body
-
-
-def encode_release(call: int) -> bytes:
-    """A release frame with the cause of a normal end, which abandons a set-up or ends an established call."""
-    return encode_frame(RELEASE, call, [(CAUSE, bytes([NORMAL_CLEARING]))])
-
-
-def decode_frame(data: bytes) -> tuple[int, int, dict[int, bytes]]:
-    """Message type, call and parameters by code, of a frame without its length.
-
-    Raises ValueError for a truncated frame.
-    """
-    if len(data) < 9:
-        raise ValueError(f"frame too short: {len(data)} bytes")
-    kind, call = struct.unpack_from("!BQ", data)
-    offset, parameters = 9, {}
-    while offset < len(data):
-        if offset + 3 > len(data):
-            raise ValueError("truncated parameter header")
-        code, length = struct.unpack_from("!BH", data, offset)
-        offset += 3
-        if offset + length > len(data):
-            raise ValueError(f"parameter {code} is truncated")
-        parameters[code] = data[offset : offset + length]
-        offset += length
-    return kind, call, parameters
-
-
 class ExchangeProtocol(Connection, Int16StringReceiver):
     """One connection to an exchange. Detects when it has been silent for too long."""
 
@@ -175,9 +137,8 @@
         self.last_frame_at = self.link.last_frame_at = now
         self.confirm_releases(now)
         try:
-            kind, call, parameters = decode_frame(string)
-            self.link.frame_received(kind, call, parameters)
-        except (ValueError, OverflowError, struct.error) as exc:
+            self.link.frame_received(decode_frame(string))
+        except (ValueError, OverflowError) as exc:
             self.close("bad-frame", str(exc))
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
@@ -356,13 +317,13 @@
         remaining_us = effect.timeout_us - (self.clock.now_us() - queued_at)
         class_name, number, description = self.backend.frontend.setup_texts.get(effect.call, ("", "", ""))
         data = encode_frame(
-            SETUP,
+            MessageType.SETUP,
             effect.call,
             [
-                (CLASS, class_name.encode()),
-                (TIME_LEFT, str(max(remaining_us // 1000, 1)).encode()),
-                (NUMBER, number.encode()),
-                (DESCRIPTION, description.encode()),
+                (ParameterCode.CLASS, class_name.encode()),
+                (ParameterCode.TIME_LEFT, str(max(remaining_us // 1000, 1)).encode()),
+                (ParameterCode.NUMBER, number.encode()),
+                (ParameterCode.DESCRIPTION, description.encode()),
             ],
         )
         if self.connection is None or not self.connection.send(data):
@@ -411,54 +372,63 @@
             else 0
         )
 
-    def frame_received(self, kind: int, call: int, parameters: dict[int, bytes]) -> None:
+    def frame_received(self, frame: Frame) -> None:
         """Passes a frame on to the core as an event.
 
         Raises ValueError for an unusable frame; its connection is then closed.
         """
-        post, name = self.backend.driver.post, self.hub.name
-        if kind == ANSWER:
-            if call not in self.connection.pending_setups:
-                # Surplus answers (duplicates, late ones, ones with an id that was never sent) must not close
-                # the connection, with all set-ups pending on it. Whatever their content, they are dropped.
-                post(messages.UnmatchedAnswer(call, name))
-                return
-            description = parameters.get(DESCRIPTION, b"").decode("utf-8")
-            # Prevents a corrupted answer from reaching the callers.
-            if not description or CONTROL_CHARACTERS.search(description):
-                raise ValueError("answer with an empty description or with control characters")
-            self.setup_completed(call, answered=True)
-            post(messages.CallEstablished(call, name, description))
-        elif kind == RELEASE:
-            cause = parameters.get(CAUSE, b"")
-            if len(cause) != 1:
-                raise ValueError("release without a one-byte cause")
-            note, wait = parameters.get(NOTE, b"").decode("ascii", "replace"), parameters.get(RETRY_AFTER)
-            wait_us = int(float(wait) * 1000) if wait else None
-            self.setup_completed(call)
-            post(
-                messages.AttemptEnded(
-                    call,
-                    name,
-                    OUTCOME_BY_CAUSE.get(cause[0], Outcome.ERROR),
-                    REASON_BY_NOTE.get(note, Reason.NONE),
-                    wait_us,
-                )
-            )
-        elif kind == STATE:
-            text = parameters.get(GROUP, b"").decode("ascii", "replace")
-            fields = dict(part.split(":", 1) for part in text.split(";") if ":" in part)
-            if "idle" in fields and "circuits" in fields:
-                free, total = float(fields["idle"]), float(fields["circuits"])
-                if not (math.isfinite(free) and 0 <= total < math.inf):
-                    raise ValueError(f"group state out of range: {text[:40]!r}")
-                post(messages.GroupStateReported(name, free, total))
-        elif kind == RELEASE_COMPLETE:
-            self.connection.unconfirmed_releases.pop(call, None)
-        elif kind not in IGNORED_TYPES:
+        if frame.kind == MessageType.ANSWER:
+            self.answer_received(frame)
+        elif frame.kind == MessageType.RELEASE:
+            self.release_received(frame)
+        elif frame.kind == MessageType.STATE:
+            self.state_received(frame)
+        elif frame.kind == MessageType.RELEASE_COMPLETE:
+            self.connection.unconfirmed_releases.pop(frame.call, None)
+        elif frame.kind not in IGNORED_TYPES:
             # A corrupted frame must not be ignored as an unknown message type: on a connection where one
             # occurred, no valid frame followed.
-            raise ValueError(f"unknown message type {kind}")
+            raise ValueError(f"unknown message type {frame.kind}")
+
+    def answer_received(self, frame: Frame) -> None:
+        if frame.call not in self.connection.pending_setups:
+            # Surplus answers (duplicates, late ones, ones with an id that was never sent) must not close
+            # the connection, with all set-ups pending on it. Whatever their content, they are dropped.
+            self.backend.driver.post(messages.UnmatchedAnswer(frame.call, self.hub.name))
+            return
+        description = frame.parameters.get(ParameterCode.DESCRIPTION, b"").decode("utf-8")
+        # Prevents a corrupted answer from reaching the callers.
+        if not description or CONTROL_CHARACTERS.search(description):
+            raise ValueError("answer with an empty description or with control characters")
+        self.setup_completed(frame.call, answered=True)
+        self.backend.driver.post(messages.CallEstablished(frame.call, self.hub.name, description))
+
+    def release_received(self, frame: Frame) -> None:
+        cause = frame.parameters.get(ParameterCode.CAUSE, b"")
+        if len(cause) != 1:
+            raise ValueError("release without a one-byte cause")
+        wait = frame.parameters.get(ParameterCode.RETRY_AFTER)
+        wait_us = int(float(wait) * 1000) if wait else None
+        self.setup_completed(frame.call)
+        self.backend.driver.post(
+            messages.AttemptEnded(
+                frame.call,
+                self.hub.name,
+                OUTCOME_BY_CAUSE.get(cause[0], Outcome.ERROR),
+                REASON_BY_NOTE.get(frame.text(ParameterCode.NOTE), Reason.NONE),
+                wait_us,
+            )
+        )
+
+    def state_received(self, frame: Frame) -> None:
+        text = frame.text(ParameterCode.GROUP)
+        fields = dict(part.split(":", 1) for part in text.split(";") if ":" in part)
+        if "idle" not in fields or "circuits" not in fields:
+            return
+        free, total = float(fields["idle"]), float(fields["circuits"])
+        if not (math.isfinite(free) and 0 <= total < math.inf):
+            raise ValueError(f"group state out of range: {text[:40]!r}")
+        self.backend.driver.post(messages.GroupStateReported(self.hub.name, free, total))
 
 
 class ExchangeBackend:
