--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -93,12 +93,14 @@
 
 
 def free_port():
+    """A port of loopback that is free now."""
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return sock.getsockname()[1]
 
 
 def listening_socket(port=0, backlog=64):
+    """A TCP socket that listens on loopback, by default on a free port."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(("127.0.0.1", port))
@@ -204,13 +206,15 @@
         self.sock.close()
 
 
-SETUP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, TEST, TEST_PASSED = 1, 6, 9, 12, 16, 52, 53
+SETUP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, USAGE, TEST, TEST_PASSED = 1, 6, 9, 12, 16, 43, 52, 53
+GROUP_CIRCUITS = 60  # circuits of the group between the controller and an exchange
 NAMES = {1: "set-up", 6: "progress", 9: "answer", 12: "release", 16: "release heard", 43: "usage", 52: "test"}
 
 
 class Exchange:
     """An exchange. `on_setup` is called with each set-up that has arrived whole; it decides on the answer.
 
+    It tells the state of its group at the controller's first connection and whenever that state changes.
     The record and `out` hold what this exchange sees: an attempt is out from the arrival of its set-up until
     its end is written here, it is released, or its connection is closed.
     """
@@ -261,11 +265,17 @@
                 self.connections.append(connection)
                 self.accepted_count += 1
                 self.record(self.name, f"accepted connection {self.accepted_count}")
-            self.on_accept(connection)
+            if self.accepted_count == 1:
+                self.send_usage()
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
-    def on_accept(self, connection):
-        """Called with each new connection, before it is read."""
+    def send_usage(self):
+        """Tells the free circuits and the size of the group."""
+        with self.lock:
+            taken = len(self.standing) + sum(len(open_on) for open_on in self.out.values())
+            if self.connections:
+                text = f"idle:{GROUP_CIRCUITS - taken};circuits:{GROUP_CIRCUITS}"
+                self.send(USAGE, "0" * 16, (43, text.encode()))
 
     def _receive(self, connection, size):
         data = b""
@@ -315,6 +325,8 @@
                 if self.standing.pop(call, None) is not None:
                     self.ended_by_controller.append(call)
                     self.record(self.name, f"the standing call {call} was released by the controller")
+        if kind in (SETUP, RELEASE):
+            self.send_usage()
         if kind == SETUP:
             self.on_setup(call, connection)
 
@@ -352,12 +364,15 @@
             self.send(
                 RELEASE, call, (58, bytes([cause])), *([(37, note)] if note else []), connection=connection
             )
+            self.send_usage()
 
     def end(self, call, cause=16):
         """Ends a standing call; its release goes on the connection of its set-up, else on any open one."""
         with self.lock:
             connection = self.standing.pop(call)
-            return self.send(RELEASE, call, (58, bytes([cause])), connection=connection)
+            sent = self.send(RELEASE, call, (58, bytes([cause])), connection=connection)
+            self.send_usage()
+            return sent
 
     def close(self):
         self.sock.close()
