--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,67 +1,88 @@
-"""Consul restarts with an empty catalogue while calls stand; other services register before the hubs do."""
+"""The controller is killed and started again; then two calls from before end, one on either side."""
 
+import signal
 import sys
 import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins-2"))
-from platform_standins import TROUBLE, CannotRun, run_case, wait_until  # noqa: E402
-from sip_standins import Counter, FakeConsul, Hub, start_sip_program  # noqa: E402
+from platform_standins import (  # noqa: E402
+    TROUBLE,
+    Caller,
+    CannotRun,
+    Channel,
+    Exchange,
+    run_case,
+    start_platform_program,
+    wait_until,
+)
 
-DOWN_S = 2.0  # Consul is away for so long
-OTHER_SERVICES = 20  # of the site, registered with the new Consul before the hubs are
-HUBS_BACK_AFTER_S = 10.0  # the hubs' agents register them again
+ENDED_BY_EXCHANGE, ENDED_BY_CALLER = "00000000000000a1", "00000000000000a2"
+TOLD_WITHIN_S = 1.05  # the page: within 1 s of the release by the exchange; each limit is 50 ms longer
+OVER_WITHIN_S = 8.05  # the page: within 8 s of its end, the most that it allows for any release
 
 
 def play(record, folder, cleanup):
-    consul = FakeConsul()
-    consul.wait_s = 5.0
-    hubs = [Hub(record, f"hub-{number}") for number in (1, 2)]
-    for number, hub in enumerate(hubs, 1):
-        cleanup.callback(hub.close)
-        hub.serve()
-        consul.set_service(f"hub-{number}", number, hub)
-    program, address = start_sip_program(record, consul, folder)
+    """Plays the case and returns what broke the rule."""
+    channel = Channel(record)
+    cleanup.callback(channel.close)
+    exchanges = [Exchange(record, f"s-{number}", number) for number in (1, 2)]
+    for exchange in exchanges:
+        cleanup.callback(exchange.close)
+    channel.publish(*(exchange.entry() for exchange in exchanges))
+    program, address = start_platform_program(record, channel, folder)
     cleanup.callback(program.close)
-    consul.wait_for_queries(consul.index)
-    standing = Counter(record, "caller-1").connect(address)
-    cleanup.callback(standing.close)
-    answer = standing.call("100")
-    if answer is None or answer.code != 200:
-        raise CannotRun(f"the first call was not answered: {answer}")
+    callers = [Caller(record, address)]
+    if not callers[0].check():
+        raise CannotRun("the test did not pass")
+    for number, uid in enumerate((ENDED_BY_EXCHANGE, ENDED_BY_CALLER)):
+        callers[0].launch(uid, key=f"{0x7F3A0000 + number:016x}")
+        wait_until(lambda uid=uid: callers[0].of(uid, "running"), "answer", 5)
+    time.sleep(0.5)
 
     if TROUBLE:
-        index, services = consul.index, dict(consul.services)
-        record("trouble", f"Consul ends; its index was {index}")
-        consul.close()
-        time.sleep(DOWN_S)
-        consul = FakeConsul(consul.port)
-        consul.wait_s = 5.0
-        consul.index = 1 + OTHER_SERVICES  # each registration is one step; none of them is a hub
-        record("trouble", f"Consul is back with an empty catalogue of hubs, index {consul.index}")
-        wait_until(lambda: len(consul.queries) >= 4, "queries after the restart", 30)
-    cleanup.callback(lambda: consul.close())
-    time.sleep(1.0)
+        record("trouble", "the controller is killed and started again")
+        program.signal(signal.SIGKILL)
+        program.process.wait()
+        program, _ = start_platform_program(
+            record, channel, folder, listen="%s:%d" % address, name="restarted"
+        )
+        cleanup.callback(program.close)
 
+    def connected():
+        """The caller's connection; a new one, which passes a test, if the last one has been closed."""
+        if callers[-1].ended:
+            callers.append(Caller(record, address, f"caller {len(callers)}"))
+            if not callers[-1].check():
+                raise CannotRun("the test did not pass")
+        return callers[-1]
+
+    wait_until(lambda: not TROUBLE or callers[0].ended, "end of the old connection", 5)
+    connected()
+    if not {ENDED_BY_EXCHANGE, ENDED_BY_CALLER} <= exchanges[0].standing.keys():
+        raise CannotRun("a call does not stand any more")
+    connected().send(kind="stop", uid=ENDED_BY_CALLER, meta={}, reason=16)
+    time.sleep(0.2)
+    exchanges[0].end(ENDED_BY_EXCHANGE)
+    ended_at = time.monotonic()
+    while time.monotonic() < ended_at + OVER_WITHIN_S:
+        connected()
+        time.sleep(0.02)
     broken = []
-    caller = Counter(record, "caller-2").connect(address)
-    cleanup.callback(caller.close)
-    answer = caller.call("100")
-    if answer is None or answer.code != 200:
-        broken.append(f"the routes are empty: a new call got {answer}")
-    end = standing.receive(0.5)
-    if end is not None and end.method == "BYE":
-        broken.append("the call that stood at hub-1 was ended towards its caller, who had not ended it")
-    if hubs[0].byes:
-        broken.append("the call that stood was ended towards hub-1")
-    if TROUBLE:
-        time.sleep(HUBS_BACK_AFTER_S)
-        consul.register(services)
-        record("trouble", "the hubs have registered again")
-    time.sleep(1.0)
+    told = [at for caller in callers for at, _ in caller.of(ENDED_BY_EXCHANGE, "stop")]
+    if not told:
+        broken.append(f"the exchange ended a call, and its caller got no release within {OVER_WITHIN_S} s")
+    elif told[0] - ended_at > TOLD_WITHIN_S:
+        broken.append(
+            f"the exchange ended a call, and its caller got the release after {told[0] - ended_at} s"
+        )
+    if ENDED_BY_CALLER in exchanges[0].standing:
+        broken.append(f"the caller ended a call, and it still stands at the exchange {OVER_WITHIN_S} s later")
     if not program.alive():
         broken.append("the program has ended")
+    for caller in callers:
+        cleanup.callback(caller.close)
     return broken
 
 
