--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -232,6 +232,8 @@
         self.ended_by_controller = []  # calls that stood and were released by the controller
         self.most_out = {}  # call -> most attempts that were out here at a time
         self.accepted_count = 0
+        self.fillers = {}  # sockets of the test's own that fill the listen queue, by their port
+        self.releases_to_repeat = []  # calls and causes, for the next connection that is opened
         self.on_setup = self.answer
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -259,6 +261,9 @@
                 continue
             except OSError:
                 return
+            if connection.getpeername()[1] in self.fillers:
+                connection.close()
+                continue
             connection.settimeout(None)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self.lock:
@@ -267,8 +272,29 @@
                 self.record(self.name, f"accepted connection {self.accepted_count}")
             if self.accepted_count == 1:
                 self.send_usage()
+            repeated, self.releases_to_repeat = self.releases_to_repeat, []
+            for call, cause in repeated:  # the page: an exchange sends its release on the next one as well
+                self.send(RELEASE, call, (58, bytes([cause])), connection=connection)
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
+    def fill_queue(self):
+        """Fills the listen queue: further connections do not come up until `empty_queue`."""
+        self.accepting = False
+        time.sleep(0.1)
+        for _ in range(8):
+            filler = socket.socket()
+            filler.settimeout(0.15)
+            try:
+                filler.connect(("127.0.0.1", self.port))
+            except TimeoutError:
+                filler.close()
+                return
+            self.fillers[filler.getsockname()[1]] = filler
+        raise CannotRun("the listen queue takes every connection")
+
+    def empty_queue(self):
+        self.accepting = True
+
     def send_usage(self):
         """Tells the free circuits and the size of the group."""
         with self.lock:
@@ -371,12 +397,13 @@
         with self.lock:
             connection = self.standing.pop(call)
             sent = self.send(RELEASE, call, (58, bytes([cause])), connection=connection)
+            self.releases_to_repeat.append((call, cause))
             self.send_usage()
             return sent
 
     def close(self):
         self.sock.close()
-        for connection in list(self.connections):
+        for connection in [*self.connections, *self.fillers.values()]:
             with contextlib.suppress(OSError):
                 connection.close()
 
@@ -466,13 +493,20 @@
     """
     record = Record(folder)
     record("case", f"trouble={'yes' if TROUBLE else 'no'}")
-    code = 2
+    code, failed_threads = 2, []
+
+    def thread_failed(failure):
+        failed_threads.append(failure.thread.name)
+        trace = traceback.format_exception(failure.exc_type, failure.exc_value, failure.exc_traceback)
+        record("case", "a stand-in has failed: " + shlex.quote("".join(trace)))
+
+    threading.excepthook = thread_failed
     try:
         with tempfile.TemporaryDirectory() as temporary, contextlib.ExitStack() as cleanup:
             broken = play(record, temporary, cleanup)
             for line in broken:
                 record("case", "BROKEN: " + line)
-            code = 1 if broken else 0
+            code = 2 if failed_threads else 1 if broken else 0
     except CannotRun as error:
         record("case", f"could not run: {error}")
     except Exception:
