--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,6 +14,19 @@
 HUBS_BACK_AFTER_S = 10.0  # the hubs' agents register them again
 
 
+class RestartedConsul(FakeConsul):
+    """A Consul without hubs, whose index counts the other services that have registered with it before."""
+
+    @property
+    def index(self):
+        """The present index, at least 1 and the other services' registrations."""
+        return max(self.steps, 1 + OTHER_SERVICES)
+
+    @index.setter
+    def index(self, value):
+        self.steps = value
+
+
 def play(record, folder, cleanup):
     """Plays the case and returns what broke the rule."""
     consul = FakeConsul()
@@ -37,9 +50,8 @@
         record("trouble", f"Consul ends; its index was {index}")
         consul.close()
         time.sleep(DOWN_S)
-        consul = FakeConsul(consul.port)
+        consul = RestartedConsul(consul.port)
         consul.wait_s = 5.0
-        consul.index = 1 + OTHER_SERVICES  # each registration is one step; none of them is a hub
         record("trouble", f"Consul is back with an empty catalogue of hubs, index {consul.index}")
         wait_until(lambda: len(consul.queries) >= 4, "queries after the restart", 30)
     cleanup.callback(lambda: consul.close())
@@ -49,7 +61,7 @@
     caller = Counter(record, "caller-2").connect(address)
     cleanup.callback(caller.close)
     answer = caller.call("100")
-    if answer is None or answer.code != 200:
+    if answer is not None and answer.code == 404:  # "no route": any other response is no sign of empty routes
         broken.append(f"the routes are empty: a new call got {answer}")
     end = standing.receive(0.5)
     if end is not None and end.method == "BYE":
