Send the end of a call from before a restart to a caller that has only passed a check

Cause: CallerFrontend.send_release used only connections that had carried a call of this process, and kept the release for the next set-up otherwise. A health check did not count.

Change: net/caller_releases.py picks the connection. One that has only passed a check is the last choice; what was sent there is repeated once to the first connection that brings a set-up, unless it was acknowledged, so that a probe swallows none. A release without any connection goes out after the next check.

--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -11,6 +11,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from ..core import messages
+from .caller_releases import CallerReleases
 from .connection import CONTROL_CHARACTERS, MAX_MESSAGE_BYTES, Connection, log
 
 if TYPE_CHECKING:
@@ -46,7 +47,6 @@
 MAX_LIST_WAIT_S = 1.0
 # A set-up with less time left than this does not wait: its answer could come too late.
 MIN_TIME_LEFT_TO_WAIT_US = round((MAX_LIST_WAIT_S + 0.1) * 1e6)
-MAX_UNSENT_RELEASES = 10_000
 
 
 def encode_line(kind: str, uid: str, meta: dict | None = None, **fields: object) -> bytes:
@@ -69,12 +69,13 @@
         # those of them not yet passed to the core: call -> set-up, when it was received
         self.undispatched: dict[int, tuple[messages.Arrival, int]] = {}
         self.used = False  # a usable message has come
+        self.setups_received = 0  # usable ones, whatever their answer
         self.calls_carried = 0  # calls established for this connection
         self.bad_setups = 0
         self.counted_at = self.lines_counted = 0  # event-loop iteration, and the lines received in it
-        self.buffered_releases: list[
-            bytes
-        ] = []  # queued while the peer does not read; resent if the connection is lost
+        # by call; queued while the peer does not read, sent elsewhere if the connection is lost
+        self.buffered_releases: dict[int, bytes] = {}
+        self.last_line_at = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
@@ -151,9 +152,12 @@
         if kind == "check":
             self.used = True
             self.frontend.check(self, uid)
+            self.frontend.releases.check_received(self)
             return
+        if kind == "stopped" and UID.match(uid):
+            self.frontend.releases.acknowledged(int(uid, 16))
         if kind not in ("launch", "stop"):
-            return  # progress, acknowledgements of releases and kinds of later versions need no action
+            return  # progress and kinds of later versions need no action
         if not UID.match(uid):
             self.close("bad-line", "uid is not 16 hex digits")
         elif kind == "launch":
@@ -193,7 +197,7 @@
         self.connections: dict[CallerProtocol, None] = {}  # oldest first
         self.unanswered: dict[int, CallerProtocol] = {}  # set-ups: call -> where the final answer goes
         self.established: dict[int, tuple[CallerProtocol, str]] = {}  # call -> connection, uid
-        self.unsent_releases: list[bytes] = []  # for which no connection that has carried calls was open
+        self.releases = CallerReleases(self.connections)
         # call -> class, number called, description as given
         self.setup_texts: dict[int, tuple[str, str, str]] = {}
         self.description_room = round(config.memory_mb * 2**20 * DESCRIPTION_MEMORY_SHARE)  # bytes left
@@ -345,8 +349,8 @@
             connection.reject_bad_setup(uid)
             return
         connection.used = True
-        if self.unsent_releases:
-            self.send_unsent_releases(connection)
+        connection.setups_received += 1
+        self.releases.setup_received(connection)
         if self.over_limits(connection, texts) or self.list_wait_too_long(arrival):
             connection.send(encode_line("stop", uid, self.overload_meta, reason=CAUSE_NO_CIRCUIT))
             return
@@ -432,10 +436,9 @@
         self.connections.pop(connection, None)
         for call in list(connection.unanswered):
             self.withdraw(call)
-        releases, connection.buffered_releases = connection.buffered_releases, []
         # The ends of calls must not be lost with a connection whose peer had stopped reading.
-        for data in releases:
-            self.send_release(data, None)
+        for call, data in connection.buffered_releases.items():
+            self.releases.send(call, data, None)
 
     def discard_texts(self, call: int) -> None:
         texts = self.setup_texts.pop(call, None)
@@ -480,29 +483,8 @@
     def call_ended(self, effect: messages.CallEnded) -> None:
         """Sends the end of an established call.
 
-        It goes on the connection of the call's set-up, else on the one that has carried the most calls, else
-        on the next one to bring a set-up. A connection that has carried no call may belong to a peer that is
-        not a caller at all.
+        It goes on the connection of the call's set-up if that is open, else on another; see `CallerReleases`.
         """
         connection, uid = self.established.pop(effect.call, (None, f"{effect.call:016x}"))
-        self.send_release(
-            encode_line("stop", uid, reason=CAUSE_FAILED if effect.cut else CAUSE_ENDED), connection
-        )
-
-    def send_release(self, data: bytes, connection: CallerProtocol | None) -> None:
-        carriers = sorted(
-            (carrier for carrier in self.connections if carrier.calls_carried),
-            key=lambda carrier: -carrier.calls_carried,
-        )
-        for candidate in (connection, *carriers):
-            if candidate in self.connections and candidate.send(data):
-                if candidate.write_blocked:
-                    candidate.buffered_releases.append(data)
-                return
-        if len(self.unsent_releases) < MAX_UNSENT_RELEASES:
-            self.unsent_releases.append(data)
-
-    def send_unsent_releases(self, connection: CallerProtocol) -> None:
-        releases, self.unsent_releases = self.unsent_releases, []
-        for data in releases:
-            connection.send(data)
+        data = encode_line("stop", uid, reason=CAUSE_FAILED if effect.cut else CAUSE_ENDED)
+        self.releases.send(effect.call, data, connection)
