Release a call that this process does not know at every exchange

Cause: CallerFrontend.withdraw ignored a release of an id that it does not know, and a new process knows none.

Change: the event UnknownCallReleased releases the call at every listed exchange.

--- a/chutefork/core/messages.py
+++ b/chutefork/core/messages.py
@@ -62,6 +62,13 @@
     call: int
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownCallReleased:
+    """Event: a caller has released a call that its frontend does not know."""
+
+    call: int
+
+
 @dataclass(frozen=True, slots=True)
 class CallEstablished:
     """Event: the hub has accepted the call."""
@@ -127,6 +134,7 @@
 Event = (
     Arrival
     | Withdrawn
+    | UnknownCallReleased
     | CallEstablished
     | UnmatchedAnswer
     | AttemptEnded
--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -300,6 +300,24 @@
         )
 
 
+def _on_unknown_call_released(
+    state: State, event: messages.UnknownCallReleased, now: int, effects: list[messages.Effect]
+) -> None:
+    """Handles a caller that releases a call which its frontend does not know.
+
+    The call may stand since before this program's restart, or have been set up by another controller: only
+    its hub knows it. It is released at every hub, since a release of a call that does not stand has no
+    effect. Ignored for a call that is known here after all or finished recently.
+    """
+    if event.call in state.finished_at:
+        return
+    if event.call in state.calls or event.call in state.established:
+        _on_withdrawn(state, messages.Withdrawn(event.call), now, effects)
+        return
+    state.finished_at[event.call] = now
+    effects.extend(messages.Release(event.call, name) for name in sorted(state.hubs))
+
+
 def _remove_established(state: State, call_id: int, hub: str, now: int) -> None:
     """Marks an established call as finished and removes it from its hub."""
     state.established.pop(call_id, None)
@@ -584,6 +602,7 @@
 _HANDLERS = {
     messages.Arrival: _on_arrival,
     messages.Withdrawn: _on_withdrawn,
+    messages.UnknownCallReleased: _on_unknown_call_released,
     messages.CallEstablished: _on_established,
     messages.UnmatchedAnswer: _on_unmatched_answer,
     messages.AttemptEnded: _on_attempt_ended,
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -13,6 +13,7 @@
 from ..core import messages
 from .caller_releases import CallerReleases
 from .connection import CONTROL_CHARACTERS, MAX_MESSAGE_BYTES, Connection, log
+from .token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from ..config import Config
@@ -47,6 +48,8 @@
 MAX_LIST_WAIT_S = 1.0
 # A set-up with less time left than this does not wait: its answer could come too late.
 MIN_TIME_LEFT_TO_WAIT_US = round((MAX_LIST_WAIT_S + 0.1) * 1e6)
+MAX_UNKNOWN_RELEASES_PER_S = 1000  # callers' releases of unknown calls, on all connections
+MAX_UNKNOWN_RELEASE_PAUSE_S = 0.25  # of reading from a connection, at a time
 
 
 def encode_line(kind: str, uid: str, meta: dict | None = None, **fields: object) -> bytes:
@@ -163,7 +166,7 @@
         elif kind == "launch":
             self.frontend.launch(self, int(uid, 16), uid, record)
         else:
-            self.frontend.withdraw(int(uid, 16))
+            self.frontend.release_received(self, int(uid, 16))
 
     def resumeProducing(self) -> None:  # noqa: N802
         super().resumeProducing()
@@ -198,6 +201,7 @@
         self.unanswered: dict[int, CallerProtocol] = {}  # set-ups: call -> where the final answer goes
         self.established: dict[int, tuple[CallerProtocol, str]] = {}  # call -> connection, uid
         self.releases = CallerReleases(self.connections)
+        self.unknown_releases = TokenBucket(MAX_UNKNOWN_RELEASES_PER_S, MAX_UNKNOWN_RELEASES_PER_S)
         # call -> class, number called, description as given
         self.setup_texts: dict[int, tuple[str, str, str]] = {}
         self.description_room = round(config.memory_mb * 2**20 * DESCRIPTION_MEMORY_SHARE)  # bytes left
@@ -432,6 +436,20 @@
         if connection is not None or self.established.pop(call, None) is not None:
             self.driver.post(messages.Withdrawn(call))
 
+    def release_received(self, connection: CallerProtocol, call: int) -> None:
+        """Handles a caller's release of a set-up or of a call, also of a call from before a restart.
+
+        Each release of an unknown call goes to all exchanges. So that a peer that keeps sending them cannot
+        flood these, reading from it pauses once they come faster than MAX_UNKNOWN_RELEASES_PER_S.
+        """
+        if call in self.unanswered or call in self.established:
+            self.withdraw(call)
+            return
+        wait_s = self.unknown_releases.take(self.clock.seconds())
+        if wait_s > 0:
+            connection.pause_reading(min(wait_s, MAX_UNKNOWN_RELEASE_PAUSE_S))
+        self.driver.post(messages.UnknownCallReleased(call))
+
     def connection_lost(self, connection: CallerProtocol) -> None:
         self.connections.pop(connection, None)
         for call in list(connection.unanswered):
