Pass on a BYE of a SIP call from before a restart to the other side

What callers and hubs saw: after a kill and a restart, a BYE for a call from before got 481, and the other side of the call stood on.

Cause: only the process that was killed knew which two dialogs make a call.

Change: each side's Contact names the other side's dialog in its user part (sip/recovery.py). A BYE that matches no dialog is passed on to the dialog that its Request-URI names, if an earlier process wrote it and the call's hub is listed.

--- a/chutefork/sip/agent.py
+++ b/chutefork/sip/agent.py
@@ -26,7 +26,8 @@
 
     `on_invite` is called with the transaction of each INVITE outside a dialog, `on_cancel` with that of an
     INVITE that was cancelled before its final response, `on_early_bye` with each BYE that matches no dialog.
-    `on_early_bye` returns whether the BYE ended a call that had no final response yet.
+    `on_early_bye` returns whether the BYE ended a call that had no final response yet. `on_unknown_bye` is
+    called with the transaction of a BYE that did not, and returns whether it ended a call.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         self.clock = clock
         self.timing = timing
         self.advertise = advertise
+        self.process = sip.new_tag()  # tells references to this process's dialogs from an earlier one's
         self.layer = TransactionLayer(transport, clock, timing)
         self.layer.on_request = self.request_received
         self.layer.on_ack = self.ack_received
@@ -43,6 +45,7 @@
         self.on_invite: Callable[[ServerTransaction], None] = lambda transaction: None
         self.on_cancel: Callable[[ServerTransaction], None] = lambda transaction: None
         self.on_early_bye: Callable[[sip.Request], bool] = lambda request: False
+        self.on_unknown_bye: Callable[[ServerTransaction], bool] = lambda transaction: False
 
     @property
     def address(self) -> tuple[str, int]:
@@ -125,7 +128,8 @@
         request = server.request
         entry = self.dialogs.get(self.dialog_id_of(request))
         if entry is None:
-            if request.method == "BYE" and self.on_early_bye(request):
+            is_bye = request.method == "BYE"
+            if is_bye and (self.on_early_bye(request) or self.on_unknown_bye(server)):
                 self.respond(server, 200)
             else:
                 self.respond(server, 481)
--- a/chutefork/sip/backend.py
+++ b/chutefork/sip/backend.py
@@ -12,6 +12,7 @@
 from .agent import SipAgent
 from .dialog import Dialog, tcp_if_too_large
 from .frontend import TRANSIT_HEADER, SipFrontend
+from .recovery import DialogReference, Side, refer_to_dialog
 from .transactions import InviteClientTransaction
 from .transport import Target
 
@@ -59,7 +60,8 @@
         self.dialogs: dict[str, Dialog] = {}  # by remote tag: a forked INVITE can get several 2xx
         self.acks: dict[str, tuple[bytes, Target]] = {}  # by remote tag: those sent, to repeat them
         self.trying_timer = None
-        call_request = backend.frontend.unanswered[effect.call].call_request
+        sip_call = backend.frontend.unanswered[effect.call]
+        call_request = sip_call.call_request
         self.via_tandem = hub.number != call_request.destination
         self.delayed_offer = not call_request.body  # the SDP offer comes in the hub's 200
         address, _, transport = hub.address.partition(";")
@@ -84,6 +86,9 @@
         if self.via_tandem:
             request.headers.set(TRANSIT_HEADER, str(backend.config.settings.own_number))
         sip.set_body(request, call_request.body)
+        contact, transport = self.agent.contact(target.transport), target.transport
+        reference = DialogReference.of(sip_call.new_dialog(), Side.CALLER, self.agent.process)
+        refer_to_dialog(request, contact, transport, reference)
         self.target = tcp_if_too_large(request, target)
         self.invite: InviteClientTransaction | None = None
         self.request = request
@@ -222,6 +227,11 @@
         if self.by_call.get(leg.call) is leg:
             del self.by_call[leg.call]
 
+    def dialog_of(self, call: int) -> Dialog | None:
+        """The hub's dialog of an established call; None if there is none."""
+        leg = self.by_call.get(call)
+        return next(iter(leg.dialogs.values()), None) if leg is not None else None
+
     def set_up(self, effect: messages.SetUp) -> None:
         hub, accepts_setups = self.hubs.get(effect.hub, (None, False))
         if hub is None or not accepts_setups or effect.call not in self.frontend.unanswered:
--- a/chutefork/sip/frontend.py
+++ b/chutefork/sip/frontend.py
@@ -10,6 +10,7 @@
 from . import message as sip
 from .agent import SipAgent
 from .dialog import Dialog
+from .recovery import DialogReference, Side, refer_to_dialog
 from .transactions import ServerTransaction
 
 if TYPE_CHECKING:
@@ -58,6 +59,10 @@
         self.ok_response = b""
         self.timers: list = []  # retransmission of the 200, then the end of the wait for its ACK
 
+    def new_dialog(self) -> Dialog:
+        """The dialog that a 2xx to the caller creates."""
+        return Dialog.of_uas(self.server.request, self.tag, self.server.source)
+
     def send_ringing(self) -> None:
         contact = ("Contact", self.agent.contact(self.server.source.transport))
         self.server.respond(sip.response_to(self.server.request, 180, self.tag, extra_headers=(contact,)))
@@ -72,8 +77,12 @@
             extra_headers=(("Contact", self.agent.contact(transport)), ("Allow", sip.ALLOW)),
         )
         sip.set_body(response, description.encode("utf-8", "surrogateescape"))
+        hub_dialog = self.frontend.backend.dialog_of(self.call)
+        if hub_dialog is not None:
+            reference = DialogReference.of(hub_dialog, Side.HUB, self.agent.process)
+            refer_to_dialog(response, self.agent.contact(transport), transport, reference)
         self.ok_response = bytes(response)
-        self.dialog = Dialog.of_uas(self.server.request, self.tag, self.server.source)
+        self.dialog = self.new_dialog()
         self.agent.add_dialog(self.dialog, self)
         self.server.respond(response)
         timing = self.agent.timing
--- a/chutefork/sip/node.py
+++ b/chutefork/sip/node.py
@@ -14,6 +14,7 @@
 from .agent import SipAgent
 from .backend import SipBackend
 from .frontend import SipFrontend
+from .recovery import DialogRecovery
 from .settings import SipConfig
 from .transactions import Timing
 from .transport import SipTransport
@@ -35,6 +36,7 @@
         self.backend = SipBackend(self.driver, self.agent, config)
         self.frontend = SipFrontend(self.driver, self.agent, config, self.backend)
         self.backend.frontend = self.frontend
+        self.recovery = DialogRecovery(self.agent, self.backend)
         self.driver.attach(self.frontend, self.backend)
         self.membership = ConsulMembership(config.consul, clock, UnixClock(), self.driver.post)
         self.registration: Registration | None = None
--- a/tests/sip_harness.py
+++ b/tests/sip_harness.py
@@ -39,6 +39,11 @@
         return f"<{self.start_line}>"
 
 
+def contact_uri(message):
+    """The URI of the message's Contact: the target of requests in its dialog; None without a Contact."""
+    return message.get("Contact").partition("<")[2].partition(">")[0] or None
+
+
 class SipEndpoint:
     """A SIP endpoint on one UDP socket, or on any number of TCP connections that it opens or accepts.
 
@@ -96,7 +101,10 @@
                 if sock is self.server:
                     self.streams.append(sock.accept()[0])
                 elif sock in self.streams:
-                    data = sock.recv(65536)
+                    try:
+                        data = sock.recv(65536)
+                    except ConnectionResetError:
+                        data = b""
                     if not data:
                         self.streams.remove(sock)
                         self.buffers.pop(sock, None)
@@ -141,6 +149,17 @@
                 raise AssertionError(f"expected a retransmission of {expected}, received {new}")
         raise AssertionError(f"no retransmission of {expected}")
 
+    def send_bye(self, invite, ack, uri=None):
+        """Ends the call of a received INVITE, in the dialog of its ACK; by default to its Contact."""
+        self.send(
+            (
+                f"BYE {uri or contact_uri(invite)} SIP/2.0\r\nVia: SIP/2.0/{self.transport} 127.0.0.1:"
+                f"{self.address[1]};branch=z9hG4bKhub{time.monotonic_ns()};rport\r\nFrom: {ack.get('To')}\r\n"
+                f"To: {ack.get('From')}\r\nCall-ID: {ack.get('Call-ID')}\r\nCSeq: 1 BYE\r\n"
+                "Max-Forwards: 70\r\nContent-Length: 0\r\n\r\n"
+            ).encode()
+        )
+
     def expect_silence(self, seconds=0.2):
         """Fails if a message comes in time that is not a retransmission."""
         message = self.receive(seconds)
@@ -185,6 +204,7 @@
         extra=(),
         call_id=None,
         max_forwards=70,
+        uri=None,
     ):
         if call_id is None:
             CallerAgent.call_count += 1
@@ -192,7 +212,7 @@
         self.call_id, self.branch = call_id, branch or f"z9hG4bK-{method}+{cseq}-{call_id}"
         host, port = self.address
         lines = [
-            f"{method} sip:{number}@127.0.0.1 SIP/2.0",
+            f"{method} {uri or f'sip:{number}@127.0.0.1'} SIP/2.0",
             f"Via: SIP/2.0/{self.transport} 127.0.0.1:{port};branch={self.branch};rport",
             f"Max-Forwards: {max_forwards}",
             f'From: "Counter" <sip:counter@{host}>;tag=me',
@@ -227,6 +247,7 @@
             call_id=response.get("Call-ID"),
             branch=f"z9hG4bK-{method}-{time.monotonic_ns()}",
             body=body,
+            uri=contact_uri(response),
         )
 
     def ack_error(self, response):
@@ -385,11 +406,11 @@
         self.addCleanup(endpoint.close)
         return endpoint
 
-    def start_program(self):
+    def start_program(self, port=0):
         text = (ROOT / "deploy" / "sip.toml").read_text()
         for old, new in (
             ("enabled = false", "enabled = true"),
-            ("127.0.0.1:5060", "127.0.0.1:0"),
+            ("127.0.0.1:5060", f"127.0.0.1:{port}"),
             ("127.0.0.1:8500", f"127.0.0.1:{self.consul.port}"),
             ("t1_ms = 500", "t1_ms = 40"),
             ("trying_ms = 800", "trying_ms = 300"),
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -38,15 +38,7 @@
 
     def test_bye_from_hub_ends_callers_dialog(self):
         self.establish_call()
-        host, port = self.address
-        self.hub1.send(
-            (
-                f"BYE sip:{host}:{port} SIP/2.0\r\nVia: SIP/2.0/{self.transport} 127.0.0.1:"
-                f"{self.hub1.address[1]};branch=z9hG4bKhub;rport\r\nFrom: {self.ack.get('To')}\r\n"
-                f"To: {self.ack.get('From')}\r\nCall-ID: {self.ack.get('Call-ID')}\r\nCSeq: 1 BYE\r\n"
-                "Max-Forwards: 70\r\nContent-Length: 0\r\n\r\n"
-            ).encode()
-        )
+        self.hub1.send_bye(self.invite, self.ack)
         self.assertEqual(self.hub1.expect(200).method, "BYE")
         bye = self.caller.expect("BYE")
         self.assertEqual(bye.get("To"), self.answer.get("From"))
