Limit the number of header fields of a SIP message to 256

What operators reported: hundreds of clients that stop half way through heads of very many short fields bring the process over its memory limit.

Cause: a head is kept as a list of lines, and short lines take many times their size; the parser's time grows with the square of the number of fields.

Change: at most 256 fields over either transport, 32 KiB of head over UDP too; a body is gathered in one buffer.

--- a/chutefork/sip/message.py
+++ b/chutefork/sip/message.py
@@ -35,6 +35,8 @@
     504: "Server Time-out",
     505: "Version Not Supported",
 }
+MAX_HEAD_BYTES = 32 * 1024  # start line and header fields
+MAX_HEADER_FIELDS = 256  # lines; the time to parse a head grows with the square of their number
 MANDATORY_HEADERS = ("From", "To", "Call-ID", "CSeq")  # each must occur exactly once
 
 
@@ -55,6 +57,8 @@
     head, separator, body = data.partition(b"\r\n\r\n")
     if not separator:
         raise BadMessage("no empty line after the headers")
+    if exceeds_limits(head):
+        raise BadMessage(f"head over {MAX_HEAD_BYTES} bytes or {MAX_HEADER_FIELDS} fields")
     head = re.sub(rb"\r\n[ \t]+", b" ", head)  # unfold header lines
     start_line = head.split(b"\r\n", 1)[0]
     if re.search(rb" SIP/\d+\.\d+$", start_line) and not start_line.endswith(b" SIP/2.0"):
@@ -91,13 +95,21 @@
     return message
 
 
+def exceeds_limits(head: bytes) -> bool:
+    """Whether the head of a message, without the empty line, is too long or has too many lines."""
+    return len(head) > MAX_HEAD_BYTES or head.count(b"\r\n") > MAX_HEADER_FIELDS
+
+
 def response_to_malformed(data: bytes, code: int) -> Response | None:
     """The response to a request that `parse` rejected, with the status `code`.
 
-    None for responses and ACKs, which are never answered, and where a header that a response copies (Via,
-    From, To, Call-ID, CSeq) is missing, or Via is malformed.
+    None for responses and ACKs, which are never answered, where a header that a response copies (Via, From,
+    To, Call-ID, CSeq) is missing, or Via is malformed, and for a head over the limits.
     """
-    head = re.sub(rb"\r\n[ \t]+", b" ", data.partition(b"\r\n\r\n")[0])
+    head = data.partition(b"\r\n\r\n")[0]
+    if exceeds_limits(head):
+        return None
+    head = re.sub(rb"\r\n[ \t]+", b" ", head)
     lines = head.decode("utf-8", "replace").split("\r\n")
     if lines[0].startswith(("SIP/", "ACK ")):
         return None
@@ -216,6 +228,8 @@
 __all__ = [
     "ALLOW",
     "BRANCH_COOKIE",
+    "MAX_HEAD_BYTES",
+    "MAX_HEADER_FIELDS",
     "METHODS",
     "REASON_PHRASES",
     "Address",
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -19,7 +19,6 @@
 if TYPE_CHECKING:
     from ..net.clock import CachedClockReactor
 
-MAX_HEADER_BYTES = 32 * 1024
 MAX_BODY_BYTES = 64 * 1024
 MAX_UDP_REQUEST_BYTES = 1300  # a larger request is sent over TCP (RFC 3261 18.1.1)
 MAX_QUEUED_MESSAGES = 1000  # for one peer whose connection is being opened or is blocked
@@ -45,15 +44,16 @@
 
     role = "sip"
     delimiter = b"\r\n"
-    MAX_LENGTH = MAX_HEADER_BYTES
+    MAX_LENGTH = sip.MAX_HEAD_BYTES
 
     def __init__(self, sip_transport: SipTransport, address: tuple[str, int] | None = None) -> None:
         self.sip_transport = sip_transport
         self.clock = sip_transport.clock
         self.outbound_address = address  # the peer that we connected to; None: inbound
+        # the message being received
         self.header_lines: list[bytes] = []
         self.header_bytes = 0
-        self.body_parts: list[bytes] = []
+        self.body = bytearray()
         self.body_bytes_missing = 0
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -68,8 +68,10 @@
         if line:
             self.header_lines.append(line)
             self.header_bytes += len(line) + 2
-            if self.header_bytes > MAX_HEADER_BYTES:
-                self.close("long-head", f"over {MAX_HEADER_BYTES} bytes")
+            if self.header_bytes > sip.MAX_HEAD_BYTES:
+                self.close("long-head", f"over {sip.MAX_HEAD_BYTES} bytes")
+            elif len(self.header_lines) > sip.MAX_HEADER_FIELDS:
+                self.close("long-head", f"over {sip.MAX_HEADER_FIELDS} header fields")
             return
         if not self.header_lines:  # an empty line between messages is a keepalive
             return
@@ -94,14 +96,14 @@
 
     def take_message(self) -> bytes:
         """The complete message that was gathered; starts the next one."""
-        data = b"\r\n".join(self.header_lines) + b"\r\n\r\n" + b"".join(self.body_parts)
-        self.header_lines, self.header_bytes, self.body_parts = [], 0, []
+        data = b"\r\n".join(self.header_lines) + b"\r\n\r\n" + bytes(self.body)
+        self.header_lines, self.header_bytes, self.body = [], 0, bytearray()
         self.messages_received += 1
         return data
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         part, rest = data[: self.body_bytes_missing], data[self.body_bytes_missing :]
-        self.body_parts.append(part)
+        self.body += part
         self.body_bytes_missing -= len(part)
         if not self.body_bytes_missing:
             self.sip_transport.message_received(
@@ -111,7 +113,7 @@
                 self.setLineMode(rest)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
-        self.close("long-head", f"over {MAX_HEADER_BYTES} bytes")
+        self.close("long-head", f"over {sip.MAX_HEAD_BYTES} bytes")
 
     def on_closed(self) -> None:
         self.sip_transport.streams.pop(self, None)
--- /dev/null
+++ b/tests/test_hostile_clients.py
@@ -0,0 +1,131 @@
+"""Tests of the real program beside clients that misbehave: its memory, and the answers of another caller."""
+
+import threading
+import time
+
+from .hostile_clients import HostileClient
+from .platform_harness import PlatformCase
+from .sip_harness import CallerAgent, SipMessage, SipTestCase
+
+MEMORY_LIMIT_MB = 192  # the page's: the most that scored days give
+ANSWER_AIM_S = 1.5  # target_s of the call classes
+T1_S = 0.5  # retransmission interval of the other caller's INVITEs over UDP
+FLOOD_S = 5.0
+
+
+def peak_memory_mb(program):
+    """The most memory that the process has used so far."""
+    with open(f"/proc/{program.process.pid}/status") as file:
+        line = next(line for line in file if line.startswith("VmHWM:"))
+    return int(line.split()[1]) / 1024
+
+
+class HostileClientTest:
+    """One hostile client beside a caller that makes one call after the other; subclasses make the calls."""
+
+    def check_other_caller_beside(self, kind, seconds=FLOOD_S):
+        client = HostileClient(kind, self.address, seconds)
+        self.addCleanup(client.close)
+        end = time.monotonic() + seconds
+        answer_times_s = []
+        while time.monotonic() < end:
+            began = time.monotonic()
+            self.make_call()
+            answer_times_s.append(time.monotonic() - began)
+            time.sleep(0.05)
+        self.assertLess(max(answer_times_s), ANSWER_AIM_S)
+        self.assertGreater(len(answer_times_s), seconds)
+        self.assertLess(peak_memory_mb(self.program), MEMORY_LIMIT_MB)
+
+
+class PlatformTests(HostileClientTest, PlatformCase):
+    def setUp(self):
+        super().setUp()
+        self.other = self.caller()
+        self.calls = 0
+        for exchange in (self.exchange1, self.exchange2):
+            threading.Thread(target=self.answer_set_ups, args=(exchange,), daemon=True).start()
+
+    def answer_set_ups(self, exchange):
+        connection = exchange.connections[-1]
+        connection.settimeout(None)
+        try:
+            while (frame := exchange.read(connection)) is not None:
+                if frame[0] == 1:
+                    exchange.answer(frame[1])
+        except OSError:
+            pass
+
+    def make_call(self):
+        self.calls += 1
+        uid = f"{0xCA11_0000 + self.calls:016x}"
+        self.other.launch(uid, left=9000)
+        self.assertEqual(self.other.read()["kind"], "running")
+        self.other.send(kind="stop", uid=uid, meta={}, reason=16)
+
+    def test_stalled_connections_with_half_a_line(self):
+        # Guards against memory that grows with clients that stop half way through a request.
+        self.check_other_caller_beside("platform-half-line")
+
+
+class SipTests(HostileClientTest, SipTestCase):
+    """Over TCP; each call ends with the hub's 486, so that it needs every part of the program."""
+
+    transport = "TCP"
+    config_changes = {"t1_ms = 40": f"t1_ms = {T1_S * 1000:.0f}", "trying_ms = 300": "trying_ms = 800"}
+
+    def setUp(self):
+        super().setUp()
+        self.stopping = False
+        self.hub_thread = threading.Thread(target=self.answer_invites, daemon=True)
+        self.hub_thread.start()
+        self.addCleanup(self.stop_hub)
+
+    def stop_hub(self):
+        self.stopping = True
+        self.hub_thread.join()
+
+    def answer_invites(self):
+        """Answers INVITEs to the first hub, of any caller, with 486."""
+        while not self.stopping:
+            message = self.hub1.receive(0.1)
+            if message is not None and message.method == "INVITE" and not message.code:
+                self.hub1.reply(message, 486)
+
+    def make_call(self):
+        data = self.caller.send_invite()
+        call_id, began, repeated = self.caller.call_id, time.monotonic(), 0
+        while time.monotonic() < began + 10:
+            message = self.receive_raw(T1_S)
+            if message is None and self.transport == "UDP" and repeated < 6:
+                repeated += 1
+                self.caller.remote = self.address
+                self.caller.send(data)
+            if message is not None and message.get("Call-ID") == call_id and message.code >= 200:
+                self.assertEqual(message.code, 486)
+                self.caller.call_id = call_id
+                self.caller.ack_error(message)
+                return
+        self.fail("no final response")
+
+    def receive_raw(self, seconds):
+        data = self.caller._receive_raw(seconds)
+        return None if data is None else SipMessage(data)
+
+    def test_stalled_connections_with_heads_of_many_short_fields(self):
+        # Guards against heads that take many times their size in memory and long to parse.
+        self.check_other_caller_beside("sip-short-fields")
+
+    def test_stalled_connections_with_half_a_body(self):
+        # Guards against memory that grows with clients that stop half way through a body.
+        self.check_other_caller_beside("sip-half-body")
+
+    def test_request_with_too_many_fields_ends_only_its_connection(self):
+        # Guards against a head that is accepted field by field without end.
+        stranger = CallerAgent("TCP").connect(self.address)
+        self.addCleanup(stranger.close)
+        stranger.send(b"OPTIONS sip:100@127.0.0.1 SIP/2.0\r\n" + b"a:1\r\n" * 300)
+        self.program.wait_log("end role=sip", "code=long-head", "fields")
+        stranger.receive(0.2)
+        self.assertEqual(stranger.streams, [])  # it has been closed
+        self.make_call()
