Process SIP messages of each source in turn, and spread UDP senders over several sockets

What callers saw: while one client sent requests at full speed over UDP, other callers were answered after 7.5 s or never, and hubs' responses were lost (503, 504). Over TCP a flood of INVITEs failed other calls.

Cause: one receive buffer for all datagrams, which one sender fills, and processing in the order of arrival; a TCP connection was processed as long as it had input.

Change: up to 16 UDP sockets on the port, a bounded queue for each address, and a round-robin over all sources with waiting messages (sip/datagrams.py, sip/scheduler.py).

--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -10,11 +10,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from twisted.internet import error
-from twisted.internet.protocol import ClientFactory, DatagramProtocol, Factory
+from twisted.internet.protocol import ClientFactory, Factory
 from twisted.protocols.basic import LineReceiver
 
 from ..net.connection import Connection, log
 from . import message as sip
+from .datagrams import DatagramPort
+from .scheduler import FairScheduler
 
 if TYPE_CHECKING:
     from ..net.clock import CachedClockReactor
@@ -90,9 +92,25 @@
             self.body_bytes_missing = length
             self.setRawMode()
         else:
-            self.sip_transport.message_received(
-                self.take_message(), Target("TCP", *self.remote_address, self)
-            )
+            self.message_complete()
+
+    def message_complete(self) -> None:
+        """Passes on the message that was gathered; further ones wait for their turn while others do."""
+        scheduler = self.sip_transport.scheduler
+        scheduler.count_message()
+        self.sip_transport.message_received(self.take_message(), Target("TCP", *self.remote_address, self))
+        if scheduler.is_busy() and not self.paused and not self.end_code:
+            self.paused = True
+            self.transport.pauseProducing()
+            scheduler.add(self)
+
+    def process_next(self) -> bool:
+        """Goes on reading. A message that is found then puts the connection into the queue again."""
+        self.resume_reading()
+        return False
+
+    def has_unread_input(self) -> bool:
+        return self.paused or super().has_unread_input()
 
     def take_message(self) -> bytes:
         """The complete message that was gathered; starts the next one."""
@@ -106,9 +124,7 @@
         self.body += part
         self.body_bytes_missing -= len(part)
         if not self.body_bytes_missing:
-            self.sip_transport.message_received(
-                self.take_message(), Target("TCP", *self.remote_address, self)
-            )
+            self.message_complete()
             if not self.end_code:
                 self.setLineMode(rest)
 
@@ -165,17 +181,6 @@
         self.sip_transport.fail_queued(self.outbound_address)
 
 
-class _DatagramProtocol(DatagramProtocol):
-    noisy = False
-
-    def __init__(self, sip_transport: SipTransport) -> None:
-        self.sip_transport = sip_transport
-
-    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
-        if datagram.strip(b"\r\n\0"):  # otherwise a keepalive
-            self.sip_transport.message_received(datagram, Target("UDP", addr[0], addr[1]))
-
-
 class SipTransport:
     """The UDP and TCP ports, and all connections.
 
@@ -187,6 +192,7 @@
         self, clock: CachedClockReactor, listen: tuple[str, int], connect_timeout_s: float, sockets: int
     ) -> None:
         self.clock = clock
+        self.sockets = sockets
         self.max_inbound = max(round(sockets * INBOUND_SHARE), 1)
         self.host, self.port = listen
         self.connect_timeout_s = connect_timeout_s
@@ -194,20 +200,19 @@
         self.outbound: dict[tuple[str, int], SipStream] = {}
         self.queued: dict[tuple[str, int], list[tuple[bytes, Callable[[], None] | None]]] = {}
         self.on_message: Callable[[sip.Request | sip.Response, Target], None] = lambda message, source: None
+        self.scheduler = FairScheduler(clock)
+        self.datagrams = DatagramPort(clock, self.scheduler, self.datagram_received, self.drop)
         self.dropped, self.drop_logged_at = 0, -DROP_LOG_INTERVAL_US
 
     def start(self) -> None:
         factory = Factory.forProtocol(lambda: SipStream(self))
         factory.noisy = False
-        datagram_protocol = _DatagramProtocol(self)
         # With port 0, the port that the system chose for TCP may be in use for UDP: four ports are tried.
         for last_try in (False, False, False, True):
             listening = self.clock.listenTCP(self.port, factory, interface=self.host)
             try:
-                self.udp = self.clock.listenUDP(
-                    listening.getHost().port, datagram_protocol, interface=self.host, maxPacketSize=65536
-                )
-            except error.CannotListenError:
+                self.datagrams.listen(self.host, listening.getHost().port, self.sockets)
+            except OSError:
                 listening.stopListening()
                 if last_try or self.port:
                     raise
@@ -258,6 +263,9 @@
             )
             evicted.close("crowded", at_once=True)
 
+    def datagram_received(self, datagram: bytes, address: tuple[str, int]) -> None:
+        self.message_received(datagram, Target("UDP", *address))
+
     def message_received(self, data: bytes, source: Target) -> None:
         try:
             message = sip.parse(data)
@@ -291,7 +299,7 @@
         """
         if target.transport == "UDP":
             try:
-                self.udp.protocol.transport.write(data, (target.host, target.port))
+                self.datagrams.write(data, (target.host, target.port))
             except (OSError, ValueError, OverflowError, error.MessageLengthError) as exc:
                 # ValueError: the host is not an IPv4 address; OverflowError: the port is out of range
                 self.fail_later(target, f"not sent: {type(exc).__name__}: {exc}", on_failure)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -63,15 +63,26 @@
         self.assertEqual(self.other.read()["kind"], "running")
         self.other.send(kind="stop", uid=uid, meta={}, reason=16)
 
+    def test_flood_of_checks(self):
+        # Guards against a client that keeps the program from serving others.
+        self.check_other_caller_beside("platform-check")
+
+    def test_flood_of_set_ups_under_new_ids(self):
+        # Guards against a client that keeps the program from serving others.
+        self.check_other_caller_beside("platform-launch")
+
+    def test_flood_of_unsound_set_ups(self):
+        # Guards against a client that keeps the program from serving others.
+        self.check_other_caller_beside("platform-unsound")
+
     def test_stalled_connections_with_half_a_line(self):
         # Guards against memory that grows with clients that stop half way through a request.
         self.check_other_caller_beside("platform-half-line")
 
 
-class SipTests(HostileClientTest, SipTestCase):
-    """Over TCP; each call ends with the hub's 486, so that it needs every part of the program."""
+class SipTests(HostileClientTest):
+    """Each call ends with the hub's 486, so that it needs every part of the program."""
 
-    transport = "TCP"
     config_changes = {"t1_ms = 40": f"t1_ms = {T1_S * 1000:.0f}", "trying_ms = 300": "trying_ms = 800"}
 
     def setUp(self):
@@ -112,6 +123,26 @@
         data = self.caller._receive_raw(seconds)
         return None if data is None else SipMessage(data)
 
+    def test_flood_of_options(self):
+        # Guards against a client that keeps the program from serving others.
+        self.check_other_caller_beside(f"sip-options/{self.transport}")
+
+    def test_flood_of_invites(self):
+        # Guards against a client that keeps the program from serving others.
+        self.check_other_caller_beside(f"sip-invite/{self.transport}")
+
+    def test_flood_of_malformed_requests(self):
+        # Guards against a client that keeps the program from serving others.
+        self.check_other_caller_beside(f"sip-malformed/{self.transport}")
+
+
+class UdpSipTests(SipTests, SipTestCase):
+    transport = "UDP"
+
+
+class TcpSipTests(SipTests, SipTestCase):
+    transport = "TCP"
+
     def test_stalled_connections_with_heads_of_many_short_fields(self):
         # Guards against heads that take many times their size in memory and long to parse.
         self.check_other_caller_beside("sip-short-fields")
