Limit the SIP server transactions that are kept, and drop their requests when answered

What operators reported: memory grows without end while one client sends requests under ever new names.

Cause: each server transaction is kept for 32 s with its parsed request, without a limit on their number.

Change: the request is dropped with the final response; 10,000 completed transactions other than INVITE are kept, the oldest ends first; of 20,000 INVITE transactions a source may have as many as it leaves free, further ones get a stateless 503. Merged requests are found in a table that follows the transactions, in place of one that was rebuilt for each INVITE above 4,096.

--- a/chutefork/sip/agent.py
+++ b/chutefork/sip/agent.py
@@ -7,7 +7,13 @@
 
 from . import message as sip
 from .dialog import Dialog, DialogId
-from .transactions import ClientTransaction, ServerTransaction, Timing, TransactionLayer
+from .transactions import (
+    ClientTransaction,
+    InviteServerTransaction,
+    ServerTransaction,
+    Timing,
+    TransactionLayer,
+)
 from .transport import SipTransport, Target
 
 if TYPE_CHECKING:
@@ -42,7 +48,7 @@
         self.layer.on_request = self.request_received
         self.layer.on_ack = self.ack_received
         self.dialogs: dict[DialogId, tuple[Dialog, DialogOwner]] = {}
-        self.on_invite: Callable[[ServerTransaction], None] = lambda transaction: None
+        self.on_invite: Callable[[InviteServerTransaction], None] = lambda transaction: None
         self.on_cancel: Callable[[ServerTransaction], None] = lambda transaction: None
         self.on_early_bye: Callable[[sip.Request], bool] = lambda request: False
         self.on_unknown_bye: Callable[[ServerTransaction], bool] = lambda transaction: False
--- a/chutefork/sip/frontend.py
+++ b/chutefork/sip/frontend.py
@@ -11,7 +11,7 @@
 from .agent import SipAgent
 from .dialog import Dialog
 from .recovery import DialogReference, Side, refer_to_dialog
-from .transactions import ServerTransaction
+from .transactions import InviteServerTransaction, ServerTransaction
 
 if TYPE_CHECKING:
     from ..net.driver import Driver
@@ -147,21 +147,18 @@
         self.unanswered: dict[int, SipCall] = {}
         self.established: dict[int, SipCall] = {}
         self.by_transaction: dict[ServerTransaction, int] = {}
-        self.invites: dict[tuple, ServerTransaction] = {}  # to detect merged requests (RFC 3261 8.2.2.2)
         self.last_call = 0  # number of the latest call
         self.shutting_down = False
         agent.on_invite = self.invite_received
         agent.on_cancel = self.cancel_received
         agent.on_early_bye = self.early_bye_received
 
-    def invite_received(self, server: ServerTransaction) -> None:
+    def invite_received(self, server: InviteServerTransaction) -> None:
         request = server.request
         if self.shutting_down or len(self.unanswered) >= MAX_UNANSWERED:
             self.agent.respond(server, 503, (("Retry-After", "5"),))
             return
-        merge_key = request.call_id, sip.tag_of(request.from_address), request.cseq.sequence
-        earlier = self.invites.get(merge_key)
-        if earlier is not None and earlier.state != "terminated":
+        if server.is_merged:
             self.agent.respond(server, 482)
             return
         content_type = request.headers.get("Content-Type", "").lower().partition(";")[0].strip()
@@ -179,11 +176,6 @@
         if route is None:
             self.agent.respond(server, 404)
             return
-        if len(self.invites) > 4096:  # forget terminated transactions
-            self.invites = {
-                key: invite for key, invite in self.invites.items() if invite.state != "terminated"
-            }
-        self.invites[merge_key] = server
         self.agent.respond(server, 100)
         self.last_call += 1
         call = self.last_call
--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -18,6 +18,10 @@
 
 
 logger = Logger()
+# Completed transactions other than INVITE that are kept for retransmissions. Beyond that the oldest ends, and
+# a retransmission of its request is answered like a new one.
+MAX_COMPLETED_REQUESTS = 10_000
+MAX_INVITE_TRANSACTIONS = 20_000  # server transactions; at most half of the room that is left for one source
 
 
 class Timing:
@@ -66,13 +70,18 @@
 
     def __init__(self, layer: TransactionLayer, key: tuple, request: sip.Request, source: Target) -> None:
         super().__init__(layer, key, source.transport == "TCP")
-        self.request = request
+        self.request: sip.Request | None = request  # None after the final response
         self.source = source
         self.target = layer.transport.response_target(request, source)
         self.last_response: bytes | None = None
         self.final_code = 0  # status code of the final response; 0: none yet
         self.state = "proceeding" if request.method == "INVITE" else "trying"
 
+    def set_final(self, code: int) -> None:
+        """Records a final response. The request takes more memory than the rest, and nobody needs it now."""
+        self.final_code = code
+        self.request = None
+
     def send_last_response(self) -> None:
         if self.last_response is not None:
             self.layer.transport.send(self.last_response, self.target)
@@ -84,7 +93,15 @@
 
 
 class InviteServerTransaction(ServerTransaction):
-    """RFC 3261 17.2.1: timers G, H and I; L and the accepted state of RFC 6026."""
+    """RFC 3261 17.2.1: timers G, H and I; L and the accepted state of RFC 6026.
+
+    `is_merged` is set if the request had reached this program by another path before (RFC 3261 8.2.2.2).
+    """
+
+    def __init__(self, layer: TransactionLayer, key: tuple, request: sip.Request, source: Target) -> None:
+        super().__init__(layer, key, request, source)
+        self.merge_key = request.call_id, sip.tag_of(request.from_address), request.cseq.sequence
+        self.is_merged = False
 
     def respond(self, response: sip.Response) -> None:
         """Sends a response, unless a final one has been sent."""
@@ -94,7 +111,7 @@
         self.send_last_response()
         if response.code < 200:
             return
-        self.final_code = response.code
+        self.set_final(response.code)
         if response.code < 300:
             self.state = "accepted"
             self.start_timer("L", self.timing.timeout_s, self.terminate)
@@ -134,9 +151,10 @@
         if response.code < 200:
             self.state = "proceeding"
             return
-        self.final_code = response.code
+        self.set_final(response.code)
         self.state = "completed"
         self.start_timer("J", 0 if self.reliable else self.timing.timeout_s, self.terminate)
+        self.layer.request_completed(self)
 
 
 class ClientTransaction(Transaction):
@@ -267,6 +285,11 @@
         self.on_response(response)
 
 
+def source_of(target: Target) -> object:
+    """What identifies the sender of a request: its connection, or its UDP address."""
+    return target.stream or (target.host, target.port)
+
+
 class TransactionLayer:
     """Matches each message to its transaction.
 
@@ -279,6 +302,10 @@
         self.clock = clock
         self.timing = timing
         self.servers: dict[tuple, ServerTransaction] = {}
+        self.completed: dict[NonInviteServerTransaction, None] = {}  # oldest first
+        self.invites: dict[tuple, InviteServerTransaction] = {}  # by merge key; the first of each
+        self.invite_count = 0  # server transactions
+        self.invite_counts: dict[object, int] = {}  # by source: a connection, or a UDP address
         self.clients: dict[tuple, ClientTransaction] = {}
         self.on_request: Callable[[ServerTransaction], None] = lambda transaction: None
         self.on_ack: Callable[[sip.Request], None] = lambda request: None
@@ -286,8 +313,39 @@
 
     def remove(self, transaction: Transaction) -> None:
         table = self.servers if isinstance(transaction, ServerTransaction) else self.clients
-        if table.get(transaction.key) is transaction:
-            del table[transaction.key]
+        if table.get(transaction.key) is not transaction:
+            return
+        del table[transaction.key]
+        if isinstance(transaction, InviteServerTransaction):
+            self._remove_invite(transaction)
+        elif isinstance(transaction, NonInviteServerTransaction):
+            self.completed.pop(transaction, None)
+
+    def _add_invite(self, transaction: InviteServerTransaction) -> None:
+        transaction.is_merged = self.invites.setdefault(transaction.merge_key, transaction) is not transaction
+        source = source_of(transaction.source)
+        self.invite_count += 1
+        self.invite_counts[source] = self.invite_counts.get(source, 0) + 1
+
+    def _remove_invite(self, transaction: InviteServerTransaction) -> None:
+        if self.invites.get(transaction.merge_key) is transaction:
+            del self.invites[transaction.merge_key]
+        source = source_of(transaction.source)
+        self.invite_count -= 1
+        self.invite_counts[source] -= 1
+        if not self.invite_counts[source]:
+            del self.invite_counts[source]
+
+    def _has_room_for_invite(self, source: Target) -> bool:
+        """Whether a source may have one more INVITE transaction; each leaves as much room as it takes."""
+        held_by_source = self.invite_counts.get(source_of(source), 0)
+        return held_by_source < MAX_INVITE_TRANSACTIONS - self.invite_count
+
+    def request_completed(self, transaction: NonInviteServerTransaction) -> None:
+        """Keeps a completed transaction, and ends the oldest if there are too many."""
+        self.completed[transaction] = None
+        if len(self.completed) > MAX_COMPLETED_REQUESTS:
+            next(iter(self.completed)).terminate()
 
     @staticmethod
     def server_key(request: sip.Request, method: str) -> tuple:
@@ -333,10 +391,15 @@
         if server is not None:
             server.request_retransmitted()
             return
-        transaction_class = (
-            InviteServerTransaction if message.method == "INVITE" else NonInviteServerTransaction
-        )
-        server = self.servers[key] = transaction_class(self, key, message, source)
+        if message.method == "INVITE":
+            if not self._has_room_for_invite(source):
+                self._refuse_without_transaction(message, source)
+                return
+            server = InviteServerTransaction(self, key, message, source)
+            self._add_invite(server)
+        else:
+            server = NonInviteServerTransaction(self, key, message, source)
+        self.servers[key] = server
         try:
             self.on_request(server)
         except Exception:
@@ -344,6 +407,12 @@
             logger.failure("request {method}", method=message.method)
             server.respond(sip.response_to(message, 500, sip.new_tag()))
 
+    def _refuse_without_transaction(self, request: sip.Request, source: Target) -> None:
+        """Answers an INVITE with 503 and forgets it; a retransmission gets the same answer."""
+        self.transport.drop(f"{source.host}:{source.port}", "too many INVITE transactions")
+        response = sip.response_to(request, 503, sip.new_tag(), extra_headers=(("Retry-After", "5"),))
+        self.transport.send(bytes(response), self.transport.response_target(request, source))
+
     def find_cancelled(self, cancel: sip.Request) -> InviteServerTransaction | None:
         """The INVITE transaction that a CANCEL is for."""
         server = self.servers.get(self.server_key(cancel, "INVITE"))
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -67,6 +67,9 @@
     "sip-invite": lambda rng, transport: sip_request(rng, "INVITE", transport),
     "sip-no-route": lambda rng, transport: sip_request(rng, "INVITE", transport, number="900"),
     "sip-options": lambda rng, transport: sip_request(rng, "OPTIONS", transport),
+    "sip-mixed": lambda rng, transport: sip_request(
+        rng, rng.choice(("INVITE", "OPTIONS", "BYE", "REGISTER")), transport, number="900"
+    ),
     "sip-malformed": lambda rng, transport: sip_request(rng, "OPTIONS", transport, cseq="x"),
 }
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -11,6 +11,7 @@
 ANSWER_AIM_S = 1.5  # target_s of the call classes
 T1_S = 0.5  # retransmission interval of the other caller's INVITEs over UDP
 FLOOD_S = 5.0
+TRANSACTION_LIFETIME_S = 64 * T1_S  # timers H, J and L of RFC 3261
 
 
 def peak_memory_mb(program):
@@ -135,6 +136,10 @@
         # Guards against a client that keeps the program from serving others.
         self.check_other_caller_beside(f"sip-malformed/{self.transport}")
 
+    def test_flood_of_unsound_requests_as_long_as_transactions_are_kept(self):
+        # Guards against memory that grows with each new branch.
+        self.check_other_caller_beside(f"sip-mixed/{self.transport}", TRANSACTION_LIFETIME_S)
+
 
 class UdpSipTests(SipTests, SipTestCase):
     transport = "UDP"
