Give up the requests of a caller that closed its connection while they were unread

What operators reported: a client closes its connection with much unread, and its requests are sent on afterwards. Calls then stood at an exchange without a caller, and their ids counted as in use.

Cause: the end of a connection is read after all input before it, and nothing asked earlier whether the peer was there.

Change: before set-ups reach the core, and when an INVITE arrives over TCP, the kernel is asked for the connection's state. Set-ups are given up, an INVITE gets 503 at the address of its Via. Releases in unread input still end their calls.

--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -98,8 +98,12 @@
         """Passes set-ups to the core once all input that arrived with them is processed.
 
         Many are withdrawn in the same input, and those are then never sent to an exchange. At the start
-        set-ups also wait until the list of exchanges is confirmed.
+        set-ups also wait until the list of exchanges is confirmed. Those of a caller that has closed the
+        connection meanwhile are given up: nobody would get the answer.
         """
+        if self.undispatched and self.peer_has_closed():
+            for call in list(self.undispatched):
+                self.frontend.withdraw(call)
         while (
             self.undispatched
             and self.frontend.list_confirmed
--- a/chutefork/net/connection.py
+++ b/chutefork/net/connection.py
@@ -21,6 +21,7 @@
 CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 OUTPUT_HIGH_WATER_BYTES = 64 * 1024  # reading pauses while more output than this is queued
 
+TCP_ESTABLISHED = 1  # state in the first byte of the kernel's tcp_info
 CLOSE_TIMEOUT_S = 2.0  # for queued output to be sent after a close; then the connection is aborted
 
 
@@ -113,6 +114,14 @@
         except OSError:
             return False
 
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has closed the connection, also while input from before is unread (Linux)."""
+        try:
+            state = self.transport.getHandle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            return True
+        return state != TCP_ESTABLISHED
+
     def pause_reading(self, seconds: float) -> None:
         """Suspends reading.
 
--- a/chutefork/sip/frontend.py
+++ b/chutefork/sip/frontend.py
@@ -158,6 +158,11 @@
         if self.shutting_down or len(self.unanswered) >= MAX_UNANSWERED:
             self.agent.respond(server, 503, (("Retry-After", "5"),))
             return
+        stream = server.source.stream
+        if stream is not None and stream.peer_has_closed():
+            # The caller has gone while its INVITE was unread. The response may still reach it by its Via.
+            self.agent.respond(server, 503)
+            return
         if server.is_merged:
             self.agent.respond(server, 482)
             return
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -305,7 +305,7 @@
                 self.fail_later(target, f"not sent: {type(exc).__name__}: {exc}", on_failure)
             return
         stream = target.stream
-        if stream is not None and stream in self.streams and not stream.end_code:
+        if stream in self.streams and not stream.end_code and not stream.peer_has_closed():
             stream.last_used_at = self.clock.now_us()
             if stream.send(data):
                 return
