Close the connection to a process that another one has replaced at its address

What operators reported: a new process comes up at the address of one that has gone and is taken for the old one.

Cause: a connection was renewed when the address of its exchange changed, not when its process did; SIP's TCP connections are found by address, whatever hub they were opened for.

Change: a connection that is older than the listed start of its exchange or hub is closed, and one to an address where a hub is listed that was not before.

Evidence: with the old connection left open, two of the four new tests failed before (the new exchange got no set-up, the new hub no INVITE) and pass now; those on another exchange name and on UDP passed before too.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -54,7 +54,7 @@
 # A frame from an exchange shows that releases sent so long before it have arrived.
 RELEASE_CONFIRMED_AFTER_US = 1_000_000
 # Ends of a connection with which what was sent last may be lost
-UNEXPECTED_END_CODES = {"silent", "peer-closed", "peer-reset", "io-error"}
+UNEXPECTED_END_CODES = {"silent", "peer-closed", "peer-reset", "io-error", "restarted"}
 RETRY_DELAYS_US = (50_000, 200_000, 500_000, 1_000_000)  # after the first, second, ... failure in a row
 
 
@@ -289,6 +289,12 @@
         if self.connection is not None:
             self.connection.close(code)
 
+    def drop_connection(self, code: str) -> None:
+        """Closes the connection, so that the next one can be opened at once."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.close(code)
+
     def renew_if_idle(self) -> None:
         """Closes a connection that the exchange may soon close as idle.
 
@@ -298,8 +304,7 @@
         old = self.connection
         idle_us = self.clock.now_us() - max(old.last_frame_at, old.last_setup_at)
         if idle_us > MAX_IDLE_SHARE * self.backend.idle_close_s * 1e6 and not old.pending_setups:
-            self.connection = None
-            old.close("renewed")
+            self.drop_connection("renewed")
 
     def set_up(self, effect: messages.SetUp) -> None:
         self.queued_setups[effect.call] = effect, self.clock.now_us()
@@ -468,7 +473,7 @@
             self.on_all_tried = None
 
     def update_hub_connection(self, effect: messages.UpdateHubConnection) -> None:
-        """Connects to an exchange, follows a change of its address, or disconnects from it."""
+        """Connects to an exchange, follows a change of its address or process, or disconnects from it."""
         link = self.links.get(effect.hub.name)
         if link is None:
             if not effect.keep_connection:
@@ -480,9 +485,11 @@
             effect.keep_connection,
             effect.accepts_setups,
         )
-        if moved and link.connection is not None:
-            link.connection.close("moved")
-            link.connection = None
+        if moved:
+            link.drop_connection("moved")
+        elif link.connection is not None and link.connection.opened_at < effect.hub.started_at:
+            # Its peer was the previous process; if that vanished, the connection is open and leads nowhere.
+            link.drop_connection("restarted")
         if not effect.accepts_setups:
             unsent, link.queued_setups = link.queued_setups, {}
             for call in unsent:  # Otherwise they would still be sent to the draining exchange once connected.
--- a/chutefork/sip/backend.py
+++ b/chutefork/sip/backend.py
@@ -64,12 +64,12 @@
         call_request = sip_call.call_request
         self.via_tandem = hub.number != call_request.destination
         self.delayed_offer = not call_request.body  # the SDP offer comes in the hub's 200
-        address, _, transport = hub.address.partition(";")
-        host, _, port = address.rpartition(":")
-        target = Target((transport or "udp").upper(), host, int(port))
+        transport = hub.address.partition(";")[2]
+        host, port = host_and_port(hub)
+        target = Target((transport or "udp").upper(), host, port)
         own_address = self.agent.address
         uri_parameters = ";transport=tcp" if target.transport == "TCP" else ""
-        uri = sip.URI("sip", host, call_request.number, None, int(port))
+        uri = sip.URI("sip", host, call_request.number, None, port)
         request = sip.new_request(
             "INVITE",
             f"{uri}{uri_parameters}",
@@ -212,6 +212,12 @@
         """Ignores the ACK: hubs send no INVITE, so none is expected from them."""
 
 
+def host_and_port(hub: messages.Hub) -> tuple[str, int]:
+    """The address that requests to a hub are sent to."""
+    host, _, port = hub.address.partition(";")[0].rpartition(":")
+    return host, int(port)
+
+
 class SipBackend:
     """All attempts, and the hubs that calls may be sent to."""
 
@@ -260,6 +266,12 @@
         no longer retransmitted. If it is removed, all its attempts and calls are ended.
         """
         name = effect.hub.name
+        previous = self.hubs.get(name, (None, False))[0]
+        if effect.keep_connection and (previous is None or previous.address != effect.hub.address):
+            # Another hub may have had this address.
+            self.agent.transport.drop_outbound(host_and_port(effect.hub), self.agent.clock.now_us())
+        elif effect.keep_connection:
+            self.agent.transport.drop_outbound(host_and_port(effect.hub), effect.hub.started_at)
         self.hubs[name] = effect.hub, effect.accepts_setups
         legs = [leg for leg in self.by_call.values() if leg.hub == name]
         for leg in legs if not effect.accepts_setups else ():
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -327,6 +327,13 @@
         if len(queue) == 1 and not usable:  # a blocked connection sends its queue later
             self.clock.connectTCP(*address, _OutboundFactory(self, address), timeout=self.connect_timeout_s)
 
+    def drop_outbound(self, address: tuple[str, int], opened_before: int) -> None:
+        """Closes an older connection to an address, whose peer is not the process that is there now."""
+        stream = self.outbound.get(address)
+        if stream is not None and stream.opened_at < opened_before:
+            del self.outbound[address]
+            stream.close("replaced")
+
     def fail_later(self, target: Target, detail: str, on_failure: Callable[[], None] | None) -> None:
         """Logs that a message could not be sent, and has `on_failure` called once its sender is done."""
         self.drop(f"{target.host}:{target.port}", detail)
--- /dev/null
+++ b/tests/test_replaced_processes.py
@@ -0,0 +1,90 @@
+"""Tests of the real program: a process vanishes without a word, and another one comes up at its address."""
+
+import time
+
+from .platform_harness import SETTINGS, PlatformCase
+from .sip_harness import SipEndpoint, SipTestCase
+
+A, B = "00000000000000a1", "00000000000000b2"
+WARM_UP_S = 0.1  # of an exchange that has just started, which gets few calls until then
+SETUP, RELEASE = 1, 12  # message types of the exchanges' frames
+
+
+class PlatformTests(PlatformCase):
+    def replace_exchange1(self, name):
+        """A new exchange at the address of the first one, whose connection stays open and silent."""
+        address = self.exchange1.sock.getsockname()
+        self.exchange1.sock.close()
+        time.sleep(0.02)  # so that its start is later in whole milliseconds
+        return self.exchange(name, 1, address)
+
+    def started_now(self, exchange):
+        return exchange.entry(since=int(time.time() * 1000))
+
+    def check_set_up_reaches(self, new, caller):
+        time.sleep(WARM_UP_S)
+        caller.launch(B)
+        self.assertEqual(new.read()[:2], (SETUP, B))
+        new.answer(B)
+        self.assertEqual(caller.read()["kind"], "running")
+        frames = iter(lambda: self.exchange1.read(self.exchange1.connections[0]), None)
+        self.assertNotIn(SETUP, [kind for kind, _, _ in frames])  # until the end of the old connection
+
+    def test_set_up_after_a_restart_goes_to_the_new_process_and_the_calls_of_the_old_one_end(self):
+        # Guards against set-ups on a connection that leads to a process that is gone.
+        caller = self.caller()
+        self.establish_call(caller, A)
+        new = self.replace_exchange1("s-1")
+        self.channel.publish(self.started_now(new))
+        self.assertEqual(caller.read()["uid"], A)
+        new.accept()
+        self.assertEqual(new.read()[:2], (RELEASE, A))
+        self.check_set_up_reaches(new, caller)
+
+    def test_set_up_after_a_replacement_under_another_name_goes_to_the_new_process(self):
+        # Guards against work for a new exchange that is sent to the one before it at the same address.
+        caller = self.caller()
+        self.establish_call(caller, A)
+        new = self.replace_exchange1("s-9")
+        gone = {**self.exchange1_entry, "status": "Gone"}
+        self.channel.publish(self.started_now(new), gone)
+        self.assertEqual(caller.read()["uid"], A)
+        new.accept()
+        self.check_set_up_reaches(new, caller)
+
+    def setUp(self):
+        super().setUp()
+        self.exchange1_entry = self.exchange1.entry()
+
+    def start(self, *args, **options):
+        rules = {**SETTINGS["rules"], "warm_up_s": WARM_UP_S}
+        return super().start(*args, settings={**SETTINGS, "rules": rules}, **options)
+
+
+class ReplacedHubTests:
+    """Tests that run over UDP and over TCP."""
+
+    def test_invite_after_a_replacement_goes_to_the_new_hub(self):
+        # Guards against INVITEs for a new hub on the connection to the one before it at the same address.
+        self.establish_call()
+        port = self.hub1.address[1]
+        (self.hub1.server or self.hub1.sock).close()
+        new = SipEndpoint(self.transport, port)
+        self.addCleanup(new.close)
+        with self.consul.condition:
+            self.consul.services["hub-9"] = 1, port, self.transport.lower(), ("service:x", "passing")
+        self.consul.remove_service("hub-1")
+        self.caller.reply(self.caller.expect("BYE"), 200)
+        self.caller.send_invite()
+        while (message := new.receive()).method != "INVITE":
+            pass  # the BYE of the call at the hub before, which may not have known of its removal
+        new.reply(message, 486)
+        self.expect_error(486)
+
+
+class UdpReplacedHubTests(ReplacedHubTests, SipTestCase):
+    transport = "UDP"
+
+
+class TcpReplacedHubTests(ReplacedHubTests, SipTestCase):
+    transport = "TCP"
