Match SIP requests to transactions by From tag, Call-ID and CSeq too

What a caller saw: restarted at its address, with branches counted anew, its INVITE was taken for a retransmission of one from before and got no response.

Cause: the transaction key was branch, host, port and method, which relies on branches that are never used again.

Change: From tag, Call-ID and CSeq number are part of the key. They are the same in a request's retransmissions, its CANCEL and the ACK for its error response.

Evidence: the new test failed before (no INVITE at the hub) and passes now.

--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -351,23 +351,18 @@
     def server_key(request: sip.Request, method: str) -> tuple:
         """The key of a server transaction (RFC 3261 17.2.3).
 
-        `method` is the request's, but INVITE to find the transaction that an ACK or a CANCEL refers to.
+        `method` is the request's, but INVITE to find the transaction that an ACK or a CANCEL refers to. From,
+        Call-ID and CSeq are part of it since a caller that has restarted at its address may use its branches
+        again.
         """
         via = request.via[0]
+        request_id = sip.tag_of(request.from_address), request.call_id, request.cseq.sequence
         branch = via.parameters.get("branch") or ""
         if branch.startswith(sip.BRANCH_COOKIE):
-            return branch, via.host.lower(), via.port or 5060, method
+            return branch, via.host.lower(), via.port or 5060, method, request_id
         # Without the cookie: what is equal in an RFC 2543 request and its retransmissions.
         tag = "" if method == "INVITE" else sip.tag_of(request.to_address)
-        return (
-            str(request.uri),
-            tag,
-            sip.tag_of(request.from_address),
-            request.call_id,
-            request.cseq.sequence,
-            str(via),
-            method,
-        )
+        return str(request.uri), tag, str(via), method, request_id
 
     def receive(self, message: sip.Request | sip.Response, source: Target) -> None:
         """Passes a message to its transaction, or creates one for a new request."""
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -85,6 +85,15 @@
 class UdpReplacedHubTests(ReplacedHubTests, SipTestCase):
     transport = "UDP"
 
+    def test_invite_of_a_restarted_caller_that_counts_its_branches_anew_is_a_new_call(self):
+        # Guards against a new caller's INVITE that is taken for a retransmission of the one before it.
+        branch = "z9hG4bK-1"
+        for _ in range(2):
+            self.caller.send_invite(branch=branch)
+            self.hub1.reply(self.hub1.expect("INVITE"), 486)
+            self.hub1.expect("ACK")
+            self.expect_error(486)
+
 
 class TcpReplacedHubTests(ReplacedHubTests, SipTestCase):
     transport = "TCP"
