Keep stalled SIP connections from crowding out callers over TCP

What callers saw: beside 900 stalled connections that had sent a valid request before, an INVITE was answered after up to 4.9 s, and idle connections of callers were reset.

Cause: each accepted connection above the limit looked at all others; the longest idle one without unread input was closed, which is the honest caller's; and hubs' responses, and callers with a single message, queued behind hundreds of sources.

Change: one eviction for each iteration of the event loop, by what a connection has brought; none with an unanswered request. Connections to hubs never wait for a turn, others only when they have more input. The queue forgets ended connections.

--- a/chutefork/sip/frontend.py
+++ b/chutefork/sip/frontend.py
@@ -181,6 +181,8 @@
         if route is None:
             self.agent.respond(server, 404)
             return
+        if stream is not None:
+            stream.has_brought_call = True
         self.agent.respond(server, 100)
         self.last_call += 1
         call = self.last_call
--- a/chutefork/sip/scheduler.py
+++ b/chutefork/sip/scheduler.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
     from ..net.clock import CachedClockReactor
 
 MAX_MESSAGES_PER_ITERATION = 4
+MAX_TURNS_PER_ITERATION = 32  # of sources, also of those that turn out to have no complete message
 
 
 class Source(Protocol):
@@ -27,7 +27,7 @@
 
     def __init__(self, clock: CachedClockReactor) -> None:
         self.clock = clock
-        self.waiting: deque[Source] = deque()  # each source at most once
+        self.waiting: dict[Source, None] = {}  # the next first
         self.counted_at_us = 0  # the iteration that `processed` is about
         self.processed = 0
         self.run_scheduled = False
@@ -43,12 +43,16 @@
         self.processed += 1
 
     def add(self, source: Source) -> None:
-        """Queues a source that is not in the queue."""
-        self.waiting.append(source)
+        """Queues a source, unless it is in the queue."""
+        self.waiting.setdefault(source)
         if not self.run_scheduled:
             self.run_scheduled = True
             self.clock.callLater(0, self._run)
 
+    def discard(self, source: Source) -> None:
+        """Takes a source that has ended out of the queue."""
+        self.waiting.pop(source, None)
+
     def _start_count_if_new_iteration(self) -> None:
         if self.counted_at_us != self.clock.now_us():
             self.counted_at_us = self.clock.now_us()
@@ -57,12 +61,13 @@
     def _run(self) -> None:
         self._start_count_if_new_iteration()
         # A source may have nothing to process; turns are counted too, so that the loop ends.
-        turns_left = 2 * MAX_MESSAGES_PER_ITERATION
+        turns_left = MAX_TURNS_PER_ITERATION
         while self.waiting and turns_left and self.processed < MAX_MESSAGES_PER_ITERATION:
             turns_left -= 1
-            source = self.waiting.popleft()
+            source = next(iter(self.waiting))
+            del self.waiting[source]
             if source.process_next():
-                self.waiting.append(source)
+                self.waiting[source] = None
         self.run_scheduled = bool(self.waiting)
         if self.run_scheduled:
             self.clock.callLater(0, self._run)
--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -76,9 +76,13 @@
         self.last_response: bytes | None = None
         self.final_code = 0  # status code of the final response; 0: none yet
         self.state = "proceeding" if request.method == "INVITE" else "trying"
+        if source.stream is not None:
+            source.stream.open_requests += 1
 
     def set_final(self, code: int) -> None:
         """Records a final response. The request takes more memory than the rest, and nobody needs it now."""
+        if not self.final_code and self.source.stream is not None:
+            self.source.stream.open_requests -= 1
         self.final_code = code
         self.request = None
 
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -52,6 +52,8 @@
         self.sip_transport = sip_transport
         self.clock = sip_transport.clock
         self.outbound_address = address  # the peer that we connected to; None: inbound
+        self.open_requests = 0  # without a final response
+        self.has_brought_call = False
         # the message being received
         self.header_lines: list[bytes] = []
         self.header_bytes = 0
@@ -64,7 +66,7 @@
         self.remote_address = peer.host, peer.port
         self.sip_transport.streams[self] = None
         if self.outbound_address is None:
-            self.sip_transport.limit_inbound(self)
+            self.sip_transport.limit_inbound()
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         if line:
@@ -92,13 +94,18 @@
             self.body_bytes_missing = length
             self.setRawMode()
         else:
-            self.message_complete()
+            self.message_complete(bool(self._buffer))
 
-    def message_complete(self) -> None:
-        """Passes on the message that was gathered; further ones wait for their turn while others do."""
+    def message_complete(self, more_received: bool) -> None:
+        """Passes on the message that was gathered; further input waits for its turn while others do.
+
+        Not on a connection to a hub: its responses must not wait behind callers' requests.
+        """
         scheduler = self.sip_transport.scheduler
         scheduler.count_message()
         self.sip_transport.message_received(self.take_message(), Target("TCP", *self.remote_address, self))
+        if not more_received and not len(self.input_buffer) or self.outbound_address is not None:
+            return
         if scheduler.is_busy() and not self.paused and not self.end_code:
             self.paused = True
             self.transport.pauseProducing()
@@ -109,6 +116,15 @@
         self.resume_reading()
         return False
 
+    def importance(self) -> tuple[bool, bool, bool, int]:
+        """Sort key: the connection to be closed first, if there are too many, has the lowest."""
+        return (
+            self.messages_received > 0,
+            self.has_brought_call,
+            self.has_unread_input(),
+            self.last_used_at,
+        )
+
     def has_unread_input(self) -> bool:
         return self.paused or super().has_unread_input()
 
@@ -124,7 +140,7 @@
         self.body += part
         self.body_bytes_missing -= len(part)
         if not self.body_bytes_missing:
-            self.message_complete()
+            self.message_complete(bool(rest))
             if not self.end_code:
                 self.setLineMode(rest)
 
@@ -133,6 +149,7 @@
 
     def on_closed(self) -> None:
         self.sip_transport.streams.pop(self, None)
+        self.sip_transport.scheduler.discard(self)
         if (
             self.outbound_address is not None
             and self.sip_transport.outbound.get(self.outbound_address) is self
@@ -193,6 +210,7 @@
     ) -> None:
         self.clock = clock
         self.sockets = sockets
+        self.eviction_scheduled_at = 0  # event-loop iteration that scheduled the pending eviction; 0: none
         self.max_inbound = max(round(sockets * INBOUND_SHARE), 1)
         self.host, self.port = listen
         self.connect_timeout_s = connect_timeout_s
@@ -241,27 +259,33 @@
                 stream.close("unused")
         self.clock.callLater(IDLE_CHECK_INTERVAL_S, self.close_idle_connections)
 
-    def limit_inbound(self, newest: SipStream) -> None:
-        """Closes one inbound connection if there are too many.
+    def limit_inbound(self) -> None:
+        """Schedules an eviction if there are too many inbound connections.
 
-        Keeps hundreds of inbound connections from using all descriptors. One that has sent no message is
-        closed first, then the one that was idle for longest; one with unread data, or opened in this
-        event-loop iteration, is kept. If there is no other, the newest is closed. A dialog outlives its
-        connection.
+        There is one for all that were accepted in an event-loop iteration: each looks at every connection.
         """
-        inbound = [
-            stream for stream in self.streams if stream.outbound_address is None and not stream.end_code
-        ]
-        if len(inbound) > self.max_inbound:
-            idle = (
-                stream
-                for stream in inbound
-                if stream.opened_at != self.clock.now_us() and not stream.has_unread_input()
-            )
-            evicted = min(
-                idle, key=lambda stream: (stream.messages_received > 0, stream.last_used_at), default=newest
-            )
-            evicted.close("crowded", at_once=True)
+        if not self.eviction_scheduled_at and len(self.open_inbound()) > self.max_inbound:
+            self.eviction_scheduled_at = self.clock.now_us()
+            self.clock.callLater(0, self.evict_inbound)
+
+    def open_inbound(self) -> list[SipStream]:
+        return [stream for stream in self.streams if stream.outbound_address is None and not stream.end_code]
+
+    def evict_inbound(self) -> None:
+        """Closes inbound connections over the limit, so that hundreds cannot use all descriptors.
+
+        Those that have sent no complete message come first, then those that have brought no call, then idle
+        ones; in each case those without unread input first, and the longest idle of them. One with an
+        unanswered request is kept. Connections accepted when the eviction was scheduled may bring a request
+        at once: they come last, the newest first. A dialog outlives its connection.
+        """
+        accepted_at, self.eviction_scheduled_at = self.eviction_scheduled_at, 0
+        inbound = self.open_inbound()
+        idle = [stream for stream in inbound if not stream.open_requests and stream.opened_at != accepted_at]
+        idle.sort(key=SipStream.importance)
+        newest = [stream for stream in reversed(inbound) if stream.opened_at == accepted_at]
+        for stream in (*idle, *newest)[: max(len(inbound) - self.max_inbound, 0)]:
+            stream.close("crowded", at_once=True)
 
     def datagram_received(self, datagram: bytes, address: tuple[str, int]) -> None:
         self.message_received(datagram, Target("UDP", *address))
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -82,6 +82,8 @@
 STALLED = {
     "platform-half-line": lambda rng: CHECK + b'{"kind":"launch","uid":"' + b"a" * 16_000,
     "sip-short-fields": lambda rng: sip_start(rng, b"a:1\r\n" * 6_000),
+    "sip-options-half-body": lambda rng: sip_request(rng, "OPTIONS", "TCP")
+    + sip_start(rng, b"Content-Length: 65000\r\n\r\n" + b"x" * 30_000),
     "sip-half-body": lambda rng: sip_start(rng, b"Content-Length: 65000\r\n\r\n" + b"x" * 60_000),
 }
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -156,6 +156,10 @@
         # Guards against memory that grows with clients that stop half way through a body.
         self.check_other_caller_beside("sip-half-body")
 
+    def test_stalled_connections_that_have_sent_a_valid_request_before(self):
+        # Guards against a caller's connection that is closed to make room for those of stalled clients.
+        self.check_other_caller_beside("sip-options-half-body")
+
     def test_request_with_too_many_fields_ends_only_its_connection(self):
         # Guards against a head that is accepted field by field without end.
         stranger = CallerAgent("TCP").connect(self.address)
