--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -144,6 +144,10 @@
 class UdpSipTests(SipTests, SipTestCase):
     transport = "UDP"
 
+    def test_flood_of_options_from_ever_new_addresses(self):
+        # Guards against a client that keeps the program from serving others.
+        self.check_other_caller_beside("sip-options/UDP-new-ports")
+
 
 class TcpSipTests(SipTests, SipTestCase):
     transport = "TCP"
