Keep a connection on which a restarted exchange has sent something since its start

What callers would have seen: since a connection was closed when the list told a restart later than its opening, also where the new process had answered on it; the end of a call that it sent there then was not read.

Cause: the time of opening does not tell which process a connection leads to. What came on it since the start does.

Change: a connection is closed only if nothing was received on it since the listed start, on both fronts.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -487,8 +487,8 @@
         )
         if moved:
             link.drop_connection("moved")
-        elif link.connection is not None and link.connection.opened_at < effect.hub.started_at:
-            # Its peer was the previous process; if that vanished, the connection is open and leads nowhere.
+        elif link.connection is not None and link.connection.last_frame_at < effect.hub.started_at:
+            # The present process has sent nothing on it. If the one before vanished, it leads nowhere.
             link.drop_connection("restarted")
         if not effect.accepts_setups:
             unsent, link.queued_setups = link.queued_setups, {}
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -52,6 +52,7 @@
         self.sip_transport = sip_transport
         self.clock = sip_transport.clock
         self.outbound_address = address  # the peer that we connected to; None: inbound
+        self.last_message_at = 0  # when the latest was received; at first when the connection was opened
         self.open_requests = 0  # without a final response
         self.has_brought_call = False
         # the message being received
@@ -62,6 +63,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
+        self.last_message_at = self.opened_at
         peer = self.transport.getPeer()
         self.remote_address = peer.host, peer.port
         self.sip_transport.streams[self] = None
@@ -103,6 +105,7 @@
         """
         scheduler = self.sip_transport.scheduler
         scheduler.count_message()
+        self.last_message_at = self.clock.now_us()
         self.sip_transport.message_received(self.take_message(), Target("TCP", *self.remote_address, self))
         if not more_received and not len(self.input_buffer) or self.outbound_address is not None:
             return
@@ -351,10 +354,10 @@
         if len(queue) == 1 and not usable:  # a blocked connection sends its queue later
             self.clock.connectTCP(*address, _OutboundFactory(self, address), timeout=self.connect_timeout_s)
 
-    def drop_outbound(self, address: tuple[str, int], opened_before: int) -> None:
-        """Closes an older connection to an address, whose peer is not the process that is there now."""
+    def drop_outbound(self, address: tuple[str, int], started_at: int) -> None:
+        """Closes a connection on which the process that has started at the address has sent no message."""
         stream = self.outbound.get(address)
-        if stream is not None and stream.opened_at < opened_before:
+        if stream is not None and stream.last_message_at < started_at:
             del self.outbound[address]
             stream.close("replaced")
 
