Wait for both of Consul's queries in the test of a replaced hub

Cause: the hub that is gone is removed by the answer to one query, the new one is added by the answers to both.

Change: the test waits until the program has processed the change in both queries. What it checks is unchanged.

--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -75,6 +75,7 @@
             self.consul.services["hub-9"] = 1, port, self.transport.lower(), ("service:x", "passing")
         self.consul.remove_service("hub-1")
         self.caller.reply(self.caller.expect("BYE"), 200)
+        self.consul.wait_for_queries(self.consul.index)  # one query removes a hub, both are needed to add one
         self.caller.send_invite()
         while (message := new.receive()).method != "INVITE":
             pass  # the BYE of the call at the hub before, which may not have known of its removal
