End SIP attempts at the process before when a hub's restart is listed

What callers saw: a call that rang at a hub which vanished and restarted waited for the old process until its time was over.

Cause: a listed restart ended established calls; an attempt with a provisional response had no end of its own but the deadline.

Change: attempts from which nothing was heard since the newly listed start end as cut. A start counts as new only if it is later than the one listed before, here and for the connections of both fronts: else a hub whose clock is ahead would lose its attempts at each change of the list.

The guard against clocks ahead has no test.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -480,6 +480,7 @@
                 return
             link = self.links[effect.hub.name] = ExchangeLink(self, effect.hub)
         moved = link.hub.address != effect.hub.address
+        restarted = link.hub.started_at < effect.hub.started_at
         link.hub, link.keep_connection, link.accepts_setups = (
             effect.hub,
             effect.keep_connection,
@@ -487,9 +488,10 @@
         )
         if moved:
             link.drop_connection("moved")
-        elif link.connection is not None and link.connection.last_frame_at < effect.hub.started_at:
-            # The present process has sent nothing on it. If the one before vanished, it leads nowhere.
-            link.drop_connection("restarted")
+        elif restarted and link.connection is not None:
+            if link.connection.last_frame_at < effect.hub.started_at:
+                # The present process has sent nothing on it. If the one before vanished, it leads nowhere.
+                link.drop_connection("restarted")
         if not effect.accepts_setups:
             unsent, link.queued_setups = link.queued_setups, {}
             for call in unsent:  # Otherwise they would still be sent to the draining exchange once connected.
--- a/chutefork/sip/backend.py
+++ b/chutefork/sip/backend.py
@@ -55,6 +55,7 @@
         self.number = hub.number
         self.active = True
         self.any_response = False
+        self.last_heard_at = self.agent.clock.now_us()  # when the last response came; at first: the start
         self.cancel_pending = False
         self.cancel_sent = False
         self.dialogs: dict[str, Dialog] = {}  # by remote tag: a forked INVITE can get several 2xx
@@ -111,6 +112,12 @@
         self.finish(Outcome.TIMEOUT)
         self.abandon()
 
+    def hub_started(self, started_at: int) -> None:
+        """Ends an attempt without a final response from which only the hub's previous process was heard."""
+        if not self.dialogs and self.last_heard_at < started_at:
+            self.finish(Outcome.CUT)
+            self.abandon()
+
     def finish(
         self, outcome: Outcome, reason: Reason = Reason.NONE, retry_after_us: int | None = None
     ) -> None:
@@ -128,6 +135,7 @@
 
     def handle_response(self, response: sip.Response) -> None:
         self.any_response = True
+        self.last_heard_at = self.agent.clock.now_us()
         self.stop_trying_timer()
         if response.code < 200:
             if self.cancel_pending:
@@ -259,6 +267,16 @@
                 if tag not in leg.acks:
                     leg.send_ack(dialog, body)
 
+    def drop_previous_process(self, hub: messages.Hub, legs: list[Leg]) -> None:
+        """Ends what is still out at another process that had the hub's address or name before."""
+        previous = self.hubs.get(hub.name, (None, False))[0]
+        if previous is None or previous.address != hub.address:
+            self.agent.transport.drop_outbound(host_and_port(hub), self.agent.clock.now_us())
+        elif previous.started_at < hub.started_at:
+            self.agent.transport.drop_outbound(host_and_port(hub), hub.started_at)
+            for leg in legs:
+                leg.hub_started(hub.started_at)
+
     def update_hub_connection(self, effect: messages.UpdateHubConnection) -> None:
         """Updates a hub.
 
@@ -266,14 +284,10 @@
         no longer retransmitted. If it is removed, all its attempts and calls are ended.
         """
         name = effect.hub.name
-        previous = self.hubs.get(name, (None, False))[0]
-        if effect.keep_connection and (previous is None or previous.address != effect.hub.address):
-            # Another hub may have had this address.
-            self.agent.transport.drop_outbound(host_and_port(effect.hub), self.agent.clock.now_us())
-        elif effect.keep_connection:
-            self.agent.transport.drop_outbound(host_and_port(effect.hub), effect.hub.started_at)
-        self.hubs[name] = effect.hub, effect.accepts_setups
         legs = [leg for leg in self.by_call.values() if leg.hub == name]
+        if effect.keep_connection:
+            self.drop_previous_process(effect.hub, legs)
+        self.hubs[name] = effect.hub, effect.accepts_setups
         for leg in legs if not effect.accepts_setups else ():
             if leg.invite is not None and not leg.any_response:
                 if self.agent.transport.remove_queued(leg.invite.data, leg.target):
--- a/tests/sip_harness.py
+++ b/tests/sip_harness.py
@@ -266,6 +266,7 @@
     def __init__(self, port=0):
         self.wait_s, self.delay_s = 2.0, 0.0
         self.index, self.services = 10, {}
+        self.started_ms = {}  # by name of the service; the metadata of those that are not here have none
         self.puts, self.queries = [], []
         self.agent_status = 200
         self.connections = []
@@ -327,7 +328,11 @@
                     "Address": "127.0.0.1",
                     "ServiceAddress": "127.0.0.1",
                     "ServicePort": port,
-                    "ServiceMeta": {"number": str(number), "transport": transport},
+                    "ServiceMeta": {
+                        "number": str(number),
+                        "transport": transport,
+                        "started_ms": str(self.started_ms.get(name, 0)),
+                    },
                 }
                 for name, (number, port, transport, _) in self.services.items()
             ]
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -7,6 +7,8 @@
 
 A, B = "00000000000000a1", "00000000000000b2"
 WARM_UP_S = 0.1  # of an exchange that has just started, which gets few calls until then
+CLEAR_GAP_S = 0.02  # so that the order of events is certain in whole milliseconds
+ANSWER_AIM_S = 1.5  # target_s of the call classes
 SETUP, RELEASE = 1, 12  # message types of the exchanges' frames
 
 
@@ -15,7 +17,7 @@
         """A new exchange at the address of the first one, whose connection stays open and silent."""
         address = self.exchange1.sock.getsockname()
         self.exchange1.sock.close()
-        time.sleep(0.02)  # so that its start is later in whole milliseconds
+        time.sleep(CLEAR_GAP_S)
         return self.exchange(name, 1, address)
 
     def started_now(self, exchange):
@@ -64,6 +66,8 @@
 class ReplacedHubTests:
     """Tests that run over UDP and over TCP."""
 
+    config_changes = {"warm_up_s = 14.0": f"warm_up_s = {WARM_UP_S}"}
+
     def test_invite_after_a_replacement_goes_to_the_new_hub(self):
         # Guards against INVITEs for a new hub on the connection to the one before it at the same address.
         self.establish_call()
@@ -82,6 +86,26 @@
         new.reply(message, 486)
         self.expect_error(486)
 
+    def test_call_that_rings_at_a_hub_that_restarts_is_sent_to_the_new_process(self):
+        # Guards against a call that waits for a process that is gone until its time is over.
+        self.caller.send_invite()
+        self.hub1.reply(self.hub1.expect("INVITE"), 180)
+        self.caller.expect(180)
+        port = self.hub1.address[1]
+        (self.hub1.server or self.hub1.sock).close()
+        time.sleep(CLEAR_GAP_S)
+        new = SipEndpoint(self.transport, port)
+        self.addCleanup(new.close)
+        self.consul.started_ms["hub-1"] = int(time.time() * 1000)
+        time.sleep(CLEAR_GAP_S)
+        self.consul.set_service("hub-1", 1, new)
+        listed_at = time.monotonic()
+        while (message := new.receive()).method != "INVITE":
+            pass  # what ends the attempt at the process before
+        self.assertLess(time.monotonic() - listed_at, ANSWER_AIM_S)
+        new.reply(message, 486)
+        self.expect_error(486)
+
 
 class UdpReplacedHubTests(ReplacedHubTests, SipTestCase):
     transport = "UDP"
