Fail a queue of SIP messages only with the connection in use for its address

Cause: the end of any connection to an address failed the messages queued for it, also of one that had been replaced, while the new one was being opened.

Change: only the connection in use fails the queue. OutboundStream loses its underscore, since a test names it, and a long condition in message_complete got a name.

Evidence: the new test fails without the condition and passes with it.

--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -107,9 +107,10 @@
         scheduler.count_message()
         self.last_message_at = self.clock.now_us()
         self.sip_transport.message_received(self.take_message(), Target("TCP", *self.remote_address, self))
-        if not more_received and not len(self.input_buffer) or self.outbound_address is not None:
+        has_more = more_received or len(self.input_buffer) > 0
+        if not has_more or self.outbound_address is not None or self.paused or self.end_code:
             return
-        if scheduler.is_busy() and not self.paused and not self.end_code:
+        if scheduler.is_busy():
             self.paused = True
             self.transport.pauseProducing()
             scheduler.add(self)
@@ -168,7 +169,7 @@
         self.address = address
 
     def buildProtocol(self, addr: object) -> SipStream:  # noqa: N802
-        return _OutboundStream(self.sip_transport, self.address)
+        return OutboundStream(self.sip_transport, self.address)
 
     def clientConnectionFailed(self, connector: object, reason: object) -> None:  # noqa: N802
         refused = reason.check(error.ConnectionRefusedError) is not None
@@ -180,7 +181,7 @@
         self.sip_transport.fail_queued(self.address)
 
 
-class _OutboundStream(SipStream):
+class OutboundStream(SipStream):
     """A connection to a peer, opened to send what is queued for it."""
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -197,8 +198,11 @@
             self.send(data)
 
     def on_closed(self) -> None:
+        # What is queued for the connection that has taken this one's place must not fail with this one.
+        is_current = self.sip_transport.outbound.get(self.outbound_address) is self
         super().on_closed()
-        self.sip_transport.fail_queued(self.outbound_address)
+        if is_current:
+            self.sip_transport.fail_queued(self.outbound_address)
 
 
 class SipTransport:
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -2,6 +2,8 @@
 
 import time
 
+from chutefork.sip.transport import OutboundStream, SipTransport
+
 from .platform_harness import SETTINGS, PlatformCase
 from .sip_harness import SipEndpoint, SipTestCase
 
@@ -122,3 +124,17 @@
 
 class TcpReplacedHubTests(ReplacedHubTests, SipTestCase):
     transport = "TCP"
+
+
+def test_late_end_of_a_replaced_connection_fails_nothing_that_is_queued_for_the_new_one():
+    # Guards against an INVITE that is given up although the connection for it is being opened.
+    address, failures = ("127.0.0.1", 5060), []
+    transport = SipTransport(None, ("127.0.0.1", 0), connect_timeout_s=1.0, sockets=64)
+    replaced, current = OutboundStream(transport, address), OutboundStream(transport, address)
+    transport.queued[address] = [(b"INVITE", lambda: failures.append("failed"))]
+    replaced.on_closed()  # while the new connection is being opened
+    transport.outbound[address] = current
+    replaced.on_closed()
+    assert not failures
+    current.on_closed()
+    assert failures == ["failed"]
