Ask whether a caller has closed once per input, not for each set-up

Cause: dispatch runs after every set-up of an input and asked the kernel each time, though it passes none on until the input is processed.

Change: it asks only when set-ups can be passed on.

Measured: tests/test_departed_callers.py passes (3 tests).

--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -101,7 +101,7 @@
         set-ups also wait until the list of exchanges is confirmed. Those of a caller that has closed the
         connection meanwhile are given up: nobody would get the answer.
         """
-        if self.undispatched and self.peer_has_closed():
+        if self.undispatched and not self.processing_input and self.peer_has_closed():
             for call in list(self.undispatched):
                 self.frontend.withdraw(call)
         while (
