--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -1,10 +1,11 @@
 """Tests of the real program: a process vanishes without a word, and another one comes up at its address."""
 
+import select
 import time
 
 from chutefork.sip.transport import OutboundStream, SipTransport
 
-from .platform_harness import SETTINGS, PlatformCase
+from .platform_harness import SETTINGS, PlatformCase, wait_until
 from .sip_harness import SipEndpoint, SipTestCase
 
 A, B = "00000000000000a1", "00000000000000b2"
@@ -56,6 +57,16 @@
         new.accept()
         self.check_set_up_reaches(new, caller)
 
+    def test_start_by_a_clock_ahead_that_is_listed_again_closes_no_connection(self):
+        # Guards against connections that are renewed at each change of the list.
+        entry = self.exchange1.entry(since=int(time.time() * 1000) + 60_000)
+        self.channel.publish(entry)
+        self.exchange1.accept()
+        polls = self.channel.polls
+        self.channel.publish(entry)
+        wait_until(lambda: self.channel.polls > polls, "the next poll")
+        self.assertEqual(select.select([self.exchange1.connections[-1]], [], [], 0.3)[0], [])
+
     def setUp(self):
         super().setUp()
         self.exchange1_entry = self.exchange1.entry()
