Free a connection's buffers and partial message when it ends

What operators would have seen: memory beyond the limit beside one client that sends a request, half of another, and closes.

Cause: transactions and standing calls refer to the connection that they came on, and a closed one kept its buffers and the message that it had read half.

Change: Connection frees the buffers when it ends, and its receivers what they hold.

--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -183,6 +183,9 @@
     def on_closed(self) -> None:
         self.frontend.connection_lost(self)
 
+    def discard_partial_message(self) -> None:
+        self.clearLineBuffer()
+
 
 class CallerFrontend:
     """All callers' connections.
--- a/chutefork/net/connection.py
+++ b/chutefork/net/connection.py
@@ -218,6 +218,13 @@
             f" in={self.messages_received} out={self.messages_sent}{detail_field}"
         )
         self.on_closed()
+        # Calls and transactions may refer to the connection for long.
+        self.input_buffer.clear()
+        self.output_buffer.clear()
+        self.discard_partial_message()
+
+    def discard_partial_message(self) -> None:
+        """Called once after the connection has closed; subclasses free what they hold of unread messages."""
 
     def on_closed(self) -> None:
         """Called once after the connection has closed; subclasses clean up what was open on it."""
--- a/chutefork/net/ring.py
+++ b/chutefork/net/ring.py
@@ -46,6 +46,11 @@
                 self.storage = bytearray(min(self.MIN_CAPACITY, self.limit))
         return data
 
+    def clear(self) -> None:
+        """Discards everything, and the storage with it."""
+        self.storage = bytearray(1)
+        self.start = self.size = 0
+
     def _grow(self, needed: int) -> None:
         capacity = len(self.storage)
         while capacity < needed:
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -151,6 +151,11 @@
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         self.close("long-head", f"over {sip.MAX_HEAD_BYTES} bytes")
 
+    def discard_partial_message(self) -> None:
+        self.clearLineBuffer()
+        self.header_lines.clear()
+        self.body = bytearray()
+
     def on_closed(self) -> None:
         self.sip_transport.streams.pop(self, None)
         self.sip_transport.scheduler.discard(self)
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -2,6 +2,7 @@
 
 FLOODS send as fast as they can, over one connection or UDP socket; over TCP they connect again when closed.
 STALLED open many connections, send the start of a message on each and then nothing more.
+DEPARTING send a request on each connection, wait for the answer, send half of another and close.
 """
 
 import random
@@ -89,6 +90,12 @@
 }
 
 
+DEPARTING = {
+    "platform-answered-then-half-line": (launch, STALLED["platform-half-line"]),
+    "sip-answered-then-half-body": (FLOODS["sip-no-route"], STALLED["sip-half-body"]),
+}
+
+
 def flood_udp(make, address, end, rng):
     """Sends datagrams from one socket and reads what comes back."""
     with socket.socket(type=socket.SOCK_DGRAM) as sock:
@@ -132,6 +139,19 @@
             time.sleep(0.01)
 
 
+def depart(make_request, make_half, address, end, rng):
+    """One connection after the other."""
+    while time.monotonic() < end:
+        try:
+            with socket.create_connection(address, timeout=2) as sock:
+                sock.sendall(make_request(rng))
+                sock.recv(65536)
+                sock.sendall(make_half(rng))
+                time.sleep(0.001)  # for it to be read
+        except OSError:
+            time.sleep(0.01)
+
+
 def stall(make, address, end, rng):
     """Keeps STALLED_CONNECTIONS open, and opens another for each that the peer closes."""
     unsent = {}
@@ -171,11 +191,16 @@
 
 
 def main(kind, host, port, seconds, seed):
-    """Runs one client; `kind` is a key of FLOODS, for SIP with `/` and a transport, or of STALLED."""
+    """Runs one client; `kind` is a key of FLOODS, for SIP with `/` and a transport, STALLED or DEPARTING."""
     kind, _, transport = kind.partition("/")
     address, end, rng = (host, int(port)), time.monotonic() + float(seconds), random.Random(int(seed))
     if kind in STALLED:
         stall(STALLED[kind], address, end, rng)
+    elif kind in DEPARTING and transport:
+        make_request, make_half = DEPARTING[kind]
+        depart(lambda rng: make_request(rng, transport), make_half, address, end, rng)
+    elif kind in DEPARTING:
+        depart(*DEPARTING[kind], address, end, rng)
     elif transport == "UDP-new-ports":
         flood_from_new_ports(FLOODS[kind], address, end, rng)
     elif transport == "UDP":
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -11,6 +11,7 @@
 ANSWER_AIM_S = 1.5  # target_s of the call classes
 T1_S = 0.5  # retransmission interval of the other caller's INVITEs over UDP
 FLOOD_S = 5.0
+DEPARTURES_S = 15.0
 CAUSE_NO_CIRCUIT = 34
 MAX_WAIT_S = 2.0  # max_retry_after_s of the settings: no refusal asks a caller to stay away for longer
 TRANSACTION_LIFETIME_S = 64 * T1_S  # timers H, J and L of RFC 3261
@@ -95,6 +96,10 @@
         # Guards against a client that keeps the program from serving others.
         self.check_other_caller_beside("platform-unsound")
 
+    def test_connections_closed_with_half_a_line_while_their_calls_stand(self):
+        # Guards against what calls keep of the connections that they came on.
+        self.check_other_caller_beside("platform-answered-then-half-line", DEPARTURES_S)
+
     def test_stalled_connections_with_half_a_line(self):
         # Guards against memory that grows with clients that stop half way through a request.
         self.check_other_caller_beside("platform-half-line")
@@ -179,6 +184,10 @@
         # Guards against memory that grows with clients that stop half way through a body.
         self.check_other_caller_beside("sip-half-body")
 
+    def test_connections_closed_with_half_a_body_while_their_transactions_are_kept(self):
+        # Guards against what transactions keep of the connections that they came on.
+        self.check_other_caller_beside("sip-answered-then-half-body/TCP", DEPARTURES_S)
+
     def test_stalled_connections_that_have_sent_a_valid_request_before(self):
         # Guards against a caller's connection that is closed to make room for those of stalled clients.
         self.check_other_caller_beside("sip-options-half-body")
