Give known SIP peers precedence, and greylist strangers' datagrams under overload

What callers saw: a client that used a new UDP port for each datagram delayed other callers by seconds, and hubs' responses, so that calls ended with 504.

Cause: turns go by address, and all addresses share one bound on queued datagrams.

While 1,000 datagrams of strangers wait, the first copy of a further one is dropped and its retransmission accepted (sip/greylist.py).

--- a/chutefork/sip/datagrams.py
+++ b/chutefork/sip/datagrams.py
@@ -9,6 +9,7 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
+from .greylist import Greylist
 from .scheduler import FairScheduler
 
 if TYPE_CHECKING:
@@ -25,20 +26,24 @@
 RECEIVE_BUFFER_BYTES = 512 * 1024  # of one socket; the system may allow less
 MAX_QUEUED_DATAGRAMS = 256  # of one address
 MAX_QUEUED_BYTES = 256 * 1024  # of one address
+MAX_KNOWN_ADDRESSES = 10_000
+MAX_STRANGERS_WAITING = 1000  # datagrams of addresses that are not known
 MAX_QUEUED_BYTES_IN_ALL = 4 * 1024 * 1024
 
 
 class _DatagramSource:
     """The datagrams of one address that wait to be processed."""
 
-    def __init__(self, port: DatagramPort, address: Address) -> None:
+    def __init__(self, port: DatagramPort, address: Address, is_known: bool) -> None:
         self.port = port
+        self.is_known = is_known
         self.address = address
         self.datagrams: deque[bytes] = deque()
         self.queued_bytes = 0
 
     def process_next(self) -> bool:
         datagram = self.datagrams.popleft()
+        self.port.strangers_waiting -= not self.is_known
         self.queued_bytes -= len(datagram)
         self.port.queued_bytes -= len(datagram)
         if not self.datagrams:
@@ -78,6 +83,9 @@
         self.on_drop = on_drop
         self.sources: dict[Address, _DatagramSource] = {}  # those with datagrams waiting
         self.queued_bytes = 0
+        self.known: dict[Address, None] = {}  # the longest unused first
+        self.strangers_waiting = 0  # datagrams
+        self.greylist = Greylist()
 
     def listen(self, host: str, port: int, descriptors: int) -> None:
         """Opens the sockets; raises OSError if the port is in use."""
@@ -102,12 +110,25 @@
         """Sends a datagram; raises what Twisted's `write` does."""
         self.transports[0].write(data, address)
 
+    def mark_known(self, address: Address) -> None:
+        """Gives the datagrams of an address precedence over those of strangers."""
+        self.known.pop(address, None)
+        self.known[address] = None
+        if len(self.known) > MAX_KNOWN_ADDRESSES:
+            del self.known[next(iter(self.known))]
+
     def datagram_received(self, datagram: bytes, address: Address) -> None:
         """Processes a datagram at once, or queues it behind others."""
         source = self.sources.get(address)
         if source is None and not self.scheduler.is_busy():
             self.process(datagram, address)
             return
+        is_known = address in self.known
+        if not is_known and self.strangers_waiting >= MAX_STRANGERS_WAITING:
+            if not self.greylist.is_repeated(datagram, address):
+                self.on_drop(f"{address[0]}:{address[1]}", "overload, first copy from a new address")
+                return
+            is_known = True
         queued_bytes = source.queued_bytes if source is not None else 0
         if (
             (source is not None and len(source.datagrams) >= MAX_QUEUED_DATAGRAMS)
@@ -117,9 +138,10 @@
             self.on_drop(f"{address[0]}:{address[1]}", "more datagrams than can be processed")
             return
         if source is None:
-            source = self.sources[address] = _DatagramSource(self, address)
-            self.scheduler.add(source)
+            source = self.sources[address] = _DatagramSource(self, address, is_known)
+            self.scheduler.add(source, is_known)
         source.datagrams.append(datagram)
+        self.strangers_waiting += not source.is_known
         source.queued_bytes += len(datagram)
         self.queued_bytes += len(datagram)
 
--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -315,6 +315,11 @@
         self.on_ack: Callable[[sip.Request], None] = lambda request: None
         transport.on_message = self.receive
 
+    def mark_known(self, peer: Target) -> None:
+        """Notes that a peer answers to what this program sends, or is one that it sends requests to."""
+        if peer.transport == "UDP":
+            self.transport.datagrams.mark_known((peer.host, peer.port))
+
     def remove(self, transaction: Transaction) -> None:
         table = self.servers if isinstance(transaction, ServerTransaction) else self.clients
         if table.get(transaction.key) is not transaction:
@@ -374,6 +379,7 @@
             branch = message.via[0].parameters.get("branch") or ""
             client = self.clients.get((branch, message.cseq.method))
             if client is not None and len(message.via) == 1:
+                self.mark_known(source)
                 client.response_received(message)
             else:
                 self.transport.drop(f"{source.host}:{source.port}", f"unmatched response {message.code}")
@@ -381,6 +387,7 @@
         if message.method == "ACK":
             server = self.servers.get(self.server_key(message, "INVITE"))
             if isinstance(server, InviteServerTransaction) and server.final_code >= 300:
+                self.mark_known(source)
                 server.ack_received()
             else:
                 self.on_ack(message)
@@ -425,6 +432,7 @@
         on_failure: Callable[[str], None],
     ) -> ClientTransaction:
         """Sends a request in a new client transaction; not for an ACK, which has none."""
+        self.mark_known(target)
         key = request.via[0].parameters["branch"], request.method
         transaction_class = (
             InviteClientTransaction if request.method == "INVITE" else NonInviteClientTransaction
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -113,7 +113,7 @@
         if scheduler.is_busy():
             self.paused = True
             self.transport.pauseProducing()
-            scheduler.add(self)
+            scheduler.add(self, is_known=True)
 
     def process_next(self) -> bool:
         """Goes on reading. A message that is found then puts the connection into the queue again."""
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -108,6 +108,7 @@
 class SipTests(HostileClientTest):
     """Each call ends with the hub's 486, so that it needs every part of the program."""
 
+    caller_per_call = False
     config_changes = {"t1_ms = 40": f"t1_ms = {T1_S * 1000:.0f}", "trying_ms = 300": "trying_ms = 800"}
 
     def setUp(self):
@@ -129,6 +130,8 @@
                 self.hub1.reply(message, 486)
 
     def make_call(self):
+        if self.caller_per_call:
+            self.caller = self.endpoint(CallerAgent).connect(self.address)
         data = self.caller.send_invite()
         call_id, began, repeated = self.caller.call_id, time.monotonic(), 0
         while time.monotonic() < began + 10:
@@ -172,6 +175,11 @@
         # Guards against a client that keeps the program from serving others.
         self.check_other_caller_beside("sip-options/UDP-new-ports")
 
+    def test_flood_of_options_from_ever_new_addresses_and_callers_that_are_new_themselves(self):
+        # Guards against a greylist that lets only those callers through that were there before the flood.
+        self.caller_per_call = True
+        self.check_other_caller_beside("sip-options/UDP-new-ports")
+
 
 class TcpSipTests(SipTests, SipTestCase):
     transport = "TCP"
