--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -289,10 +289,10 @@
 class Program:
     """A process running `python -m chutefork`; its output is collected in `lines`."""
 
-    def __init__(self, env):
+    def __init__(self, env, command=(sys.executable, "-m", "chutefork"), cwd=ROOT):
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "chutefork"],
-            cwd=ROOT,
+            command,
+            cwd=cwd,
             env={**os.environ, **env},
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
