--- a/Makefile
+++ b/Makefile
@@ -4,15 +4,14 @@
 .PHONY: build test lint run
 
 build:
-	test -d .venv || python3 -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	python3 deploy/build_environment.py .venv requirements.txt requirements-dev.txt
 
 test:
 	$(PYTHON) -m pytest -q
 
 lint:
-	$(PYTHON) -m ruff check chutefork tests
-	$(PYTHON) -m ruff format --check chutefork tests
+	$(PYTHON) -m ruff check chutefork deploy tests
+	$(PYTHON) -m ruff format --check chutefork deploy tests
 
 run:
 	exec $(PYTHON) -m chutefork
--- a/tests/checkout_harness.py
+++ b/tests/checkout_harness.py
@@ -1,4 +1,4 @@
-"""A checkout of this repository in an empty folder, built and started with the commands of the deploy file."""
+"""A checkout of this repository in an empty folder, built and started with the deploy file's commands."""
 
 import json
 import os
