End SIP calls before the earliest SIGKILL, and wait for ACKs of final responses

Cause: SipNode waited for the longest deadline of all classes, 9 s, in place of 3 s at most, and ended as soon as no call was unanswered, whether or not the responses were acknowledged.

Change: chutefork/shutdown.py holds the time limits for both nodes. SIP calls are refused 0.3 s before the earliest SIGKILL; until 0.15 s before it the node waits for the ACKs of its responses and repeats them, more often than T1 at the end. It waits for at most 1 s for answers to its BYEs and CANCELs, and no longer than they take.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -25,12 +25,10 @@
 from .net.connection import log, log_failure
 from .net.driver import Driver
 from .net.exchanges import ExchangeBackend
+from .shutdown import ACCEPT_S, CHECK_INTERVAL_S, ShutdownSchedule
 from .sip import settings as sip_settings
 from .sip.node import SipNode
 
-ACCEPT_AFTER_SIGTERM_S = 0.75  # connections and requests keep arriving for up to 0.6 s after SIGTERM
-MAX_EXIT_WAIT_S = 3.0  # after SIGTERM open calls get the longest call deadline, but no more than this
-
 
 class PlatformNode:
     """All parts of the platform's protocol, their start and their shutdown.
@@ -95,17 +93,15 @@
     def terminate(self, on_stopped: Callable[[], None]) -> None:
         """Keeps serving for a moment after SIGTERM, waits for open calls, then closes everything."""
         self.frontend.shutting_down = True
-        deadline_us = self.clock.now_us() + round(
-            (min(self.config.longest_deadline_s, MAX_EXIT_WAIT_S) + 0.4) * 1e6
-        )
-        self.clock.callLater(ACCEPT_AFTER_SIGTERM_S, self.close_when_idle, deadline_us, on_stopped)
+        schedule = ShutdownSchedule.starting_at(self.clock.now_us(), self.config.longest_deadline_s)
+        self.clock.callLater(ACCEPT_S, self.close_when_idle, schedule, on_stopped)
 
-    def close_when_idle(self, deadline_us: int, on_stopped: Callable[[], None]) -> None:
-        """Stops listening and, once no call is open or at `deadline_us`, closes all connections."""
+    def close_when_idle(self, schedule: ShutdownSchedule, on_stopped: Callable[[], None]) -> None:
+        """Stops listening; once no call is open, or the time for answers is over, closes all connections."""
         self.listening_port.stopListening()
         open_calls = len(self.frontend.unanswered) + len(self.frontend.established)
-        if open_calls and self.clock.now_us() < deadline_us:
-            self.clock.callLater(0.02, self.close_when_idle, deadline_us, on_stopped)
+        if open_calls and self.clock.now_us() < schedule.answer_by:
+            self.clock.callLater(CHECK_INTERVAL_S, self.close_when_idle, schedule, on_stopped)
             return
         log(f"left unanswered={len(self.frontend.unanswered)} standing={len(self.frontend.established)}")
         self.driver.post(Shutdown())  # SIGKILL may be near: refuses every call that is still unanswered
@@ -113,12 +109,12 @@
             connection.close("leaving")
         self.backend.shut_down()
         self.channel.shut_down()
-        self.wait_for_connections(self.clock.now_us() + 200_000, on_stopped)
+        self.wait_for_connections(schedule, on_stopped)
 
-    def wait_for_connections(self, deadline_us: int, on_stopped: Callable[[], None]) -> None:
-        """Leaves the caller connections time to send their last output, until `deadline_us` at most."""
-        if self.frontend.connections and self.clock.now_us() < deadline_us:
-            self.clock.callLater(0.01, self.wait_for_connections, deadline_us, on_stopped)
+    def wait_for_connections(self, schedule: ShutdownSchedule, on_stopped: Callable[[], None]) -> None:
+        """Leaves the caller connections time to send their last output."""
+        if self.frontend.connections and self.clock.now_us() < schedule.exit_by:
+            self.clock.callLater(CHECK_INTERVAL_S, self.wait_for_connections, schedule, on_stopped)
         else:
             on_stopped()
 
--- a/chutefork/sip/node.py
+++ b/chutefork/sip/node.py
@@ -11,6 +11,7 @@
 from ..net.clock import CachedClockReactor, UnixClock
 from ..net.connection import log
 from ..net.driver import Driver
+from ..shutdown import ACCEPT_S, CHECK_INTERVAL_S, ShutdownSchedule
 from .agent import SipAgent
 from .backend import SipBackend
 from .frontend import SipFrontend
@@ -19,9 +20,8 @@
 from .transactions import Timing
 from .transport import SipTransport
 
-# After SIGTERM, calls are accepted for this long: Consul's clients need time to see the deregistration.
-ACCEPT_S = 0.75
-BYE_WAIT_S = 1.0  # to send the BYEs of calls that are established at the end
+PEERS_WAIT_S = 1.0  # at the end, for answers to the last requests, such as the BYEs of established calls
+REPEAT_INTERVAL_S = 0.1  # of the last final responses; T1 may be longer than the time that is left
 
 
 class SipNode:
@@ -59,20 +59,20 @@
     def terminate(self, on_stopped: Callable[[], None]) -> None:
         """Starts the shutdown and calls `on_stopped` at its end.
 
-        Calls are accepted for ACCEPT_S more. INVITEs without a final response then get time for one: up to
-        the longest deadline of all call classes, counted from the start of the shutdown.
+        Calls are accepted for ACCEPT_S more: Consul's clients need time to see the deregistration. INVITEs
+        without a final response then get time for one, as ShutdownSchedule says.
         """
         if self.registration is not None:
             self.registration.deregister()
         longest_s = max(call_class.deadline_s for call_class in self.config.settings.classes)
-        self.clock.callLater(
-            ACCEPT_S, self.shut_down, self.clock.now_us() + round(longest_s * 1e6), on_stopped
-        )
+        schedule = ShutdownSchedule.starting_at(self.clock.now_us(), longest_s)
+        self.clock.callLater(ACCEPT_S, self.end_calls, schedule, on_stopped)
 
-    def shut_down(self, deadline_us: int, on_stopped: Callable[[], None]) -> None:
+    def end_calls(self, schedule: ShutdownSchedule, on_stopped: Callable[[], None]) -> None:
+        """Accepts no more calls; once none is unanswered, or the time is over, ends all that are left."""
         self.frontend.shutting_down = True
-        if self.frontend.unanswered and self.clock.now_us() < deadline_us:
-            self.clock.callLater(0.02, self.shut_down, deadline_us, on_stopped)
+        if self.frontend.unanswered and self.clock.now_us() < schedule.answer_by:
+            self.clock.callLater(CHECK_INTERVAL_S, self.end_calls, schedule, on_stopped)
             return
         established = list(self.frontend.established)
         log(f"left-sip unanswered={len(self.frontend.unanswered)} standing={len(established)}")
@@ -81,10 +81,31 @@
             self.frontend.established[call].hang_up()
         self.membership.stop()
         self.transport.stop_accepting()
-        if established:
-            self.clock.callLater(BYE_WAIT_S, self.close, on_stopped)
-        else:
+        requests_until = min(self.clock.now_us() + round(PEERS_WAIT_S * 1e6), schedule.exit_by)
+        self.wait_for_peers(schedule, requests_until, on_stopped)
+
+    def wait_for_peers(
+        self, schedule: ShutdownSchedule, requests_until: int, on_stopped: Callable[[], None]
+    ) -> None:
+        """Waits for the ACKs of final responses, and until `requests_until` for answers to requests.
+
+        A datagram with the only copy of a final response may be lost: the responses are sent again until the
+        end, more often once the time for answers is over.
+        """
+        now = self.clock.now_us()
+        layer = self.agent.layer
+        unacknowledged = layer.unacknowledged_responses()
+        awaits_answers = now < requests_until and layer.has_unanswered_requests()
+        if now >= schedule.exit_by or not (unacknowledged or awaits_answers):
             self.close(on_stopped)
+            return
+        interval_s = CHECK_INTERVAL_S
+        if unacknowledged and now >= schedule.answer_by:
+            interval_s = REPEAT_INTERVAL_S
+            for server in unacknowledged:
+                server.send_last_response()
+        interval_s = min(interval_s, (schedule.exit_by - now) / 1e6)
+        self.clock.callLater(interval_s, self.wait_for_peers, schedule, requests_until, on_stopped)
 
     def close(self, on_stopped: Callable[[], None]) -> None:
         for stream in list(self.transport.streams):
--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -187,9 +187,13 @@
     def send_request(self) -> None:
         self.layer.transport.send(self.data, self.target, lambda: self.fail("transport"))
 
+    def is_pending(self) -> bool:
+        """Whether a final response may still come."""
+        return self.state in ("calling", "trying", "proceeding")
+
     def fail(self, reason: str) -> None:
         """Terminates the transaction unless a final response has come."""
-        if self.state in ("calling", "trying", "proceeding"):
+        if self.is_pending():
             self.terminate()
             self.on_failure(reason)
 
@@ -356,6 +360,20 @@
         if len(self.completed) > MAX_COMPLETED_REQUESTS:
             next(iter(self.completed)).terminate()
 
+    def unacknowledged_responses(self) -> list[InviteServerTransaction]:
+        """The INVITE transactions over UDP whose 3xx to 6xx response has no ACK yet."""
+        return [
+            server
+            for server in self.servers.values()
+            if isinstance(server, InviteServerTransaction)
+            and server.state == "completed"
+            and not server.reliable
+        ]
+
+    def has_unanswered_requests(self) -> bool:
+        """Whether a request of this program has had no final response and may still get one."""
+        return any(client.is_pending() for client in self.clients.values())
+
     @staticmethod
     def server_key(request: sip.Request, method: str) -> tuple:
         """The key of a server transaction (RFC 3261 17.2.3).
