Send the releases of open set-ups ahead of the end of an exchange's connection

Cause: a silent connection was aborted, and the release of its set-ups sent on the next connection only. An exchange that goes on after it has hung finds the set-up alone on the first connection, runs it, and reports its end to the process that is there then; a release on another connection may be read before the set-up.

Change: a connection that this program closes carries the releases of its open set-ups first and is closed in order, so that the kernel delivers them even after the program has ended. The set-ups are ended at once, whether or not the output is through.

Evidence: tests/test_hung_exchanges.py reads what the hung exchange finds: two of two failed before (a set-up without its release), and pass; with test_platform, test_exchange_restarts, test_replaced_processes and test_controller_restarts 69 passed.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -117,6 +117,17 @@
             self.unconfirmed_releases[call] = self.clock.now_us()
         return True
 
+    def close(self, code: str, detail: str = "", at_once: bool = False) -> None:
+        """Closes the connection as `Connection.close` does, after releases of the set-ups open on it.
+
+        An exchange that hangs reads what is in order before the end. Without a release there it would run a
+        set-up that has been given up, and the release on the next connection may be read before it.
+        """
+        if not at_once and not self.end_code:
+            for call in self.pending_setups:
+                self.send(encode_release(call))
+        super().close(code, detail, at_once)
+
     def confirm_releases(self, now: int) -> None:
         """Forgets the releases that have arrived, as a frame received now shows."""
         for call, sent_at in list(self.unconfirmed_releases.items()):
@@ -239,12 +250,14 @@
             self.backend.driver.post(messages.HubDown(self.hub.name))
 
     def connection_lost(self, connection: ExchangeProtocol) -> None:
+        """Ends the set-ups of a connection that has ended or is being closed; only once."""
         if self.connection is connection:
             self.connection = None
             if self.keep_connection and self.retry_timer is None and not self.connecting:
                 self.retry_timer = self.clock.callLater(RETRY_DELAYS_US[0] / 1e6, self.connect)
+        unconfirmed, connection.unconfirmed_releases = connection.unconfirmed_releases, {}
         if connection.end_code in UNEXPECTED_END_CODES:
-            for call in connection.unconfirmed_releases:
+            for call in unconfirmed:
                 self.queue_release(call)
         pending, connection.pending_setups = connection.pending_setups, {}
         # One broken connection says nothing about the exchange. If the next one is silent too, the exchange
@@ -279,8 +292,8 @@
                 "silent",
                 f"for {silent_ms} ms, {len(connection.pending_setups)} set-ups open, answer timeout"
                 f" {timeout_ms} ms",
-                at_once=True,
             )
+            self.connection_lost(connection)  # the output may wait for long, the set-ups must not
 
     def disconnect(self, code: str) -> None:
         if self.retry_timer is not None:
@@ -294,6 +307,7 @@
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.close(code)
+            self.connection_lost(connection)
 
     def renew_if_idle(self) -> None:
         """Closes a connection that the exchange may soon close as idle.
