Poll Consul as the command channel: short waits, and parallel polls while one is overdue

After a long outage the pause between attempts grew to 15 s; a change counts as told after 6 s.

Cause: a watch was given up only after its wait of 30 s, 1/16 of it and 5 s, with nothing polling beside it.

Change: the polls of the command channel move to net/polling.py (Poller), and BlockingQuery is one. A query waits for at most 3 s; one that is overdue by 1 s gets a further connection beside it. An answer with a lower index to a query from before the latest answer is late and no loss of Consul's state. The stand-in keeps to the wait that it is asked for.

The new test of an outage of 12 s also passed before; longer ones were not run.

--- a/chutefork/consul.py
+++ b/chutefork/consul.py
@@ -1,7 +1,7 @@
 """Consul's HTTP API: blocking queries, and this program's own service registration.
 
-Each query, and the registration, has a persistent connection of its own, which is reopened with exponential
-backoff after each failure.
+Each query polls as `Poller` does. The registration has one persistent connection, which is reopened with
+exponential backoff after each failure.
 """
 
 from __future__ import annotations
@@ -14,15 +14,24 @@
 
 from .net.connection import log
 from .net.http import HttpStream, connect
+from .net.polling import PollConnection, Poller
 
 if TYPE_CHECKING:
     from .net.clock import CachedClockReactor
     from .sip.settings import ConsulConfig
 
 RETRY_DELAY_RANGE_S = (0.1, 10.0)  # first and longest, before jitter; doubles with each failure
-# Shortest and longest; doubles with each failure, so that an answer that is always late still arrives. For a
-# blocking query on top of its wait, to which Consul adds up to 1/16.
+# Shortest and longest; doubles with each failure, so that an answer that is always late still arrives.
 RESPONSE_TIMEOUT_RANGE_S = (5.0, 40.0)
+# Of a blocking query. A watch that has fallen silent is noticed only after it, and a change counts as told
+# 6 s after Consul has it.
+MAX_WAIT_S = 3.0
+OVERDUE_AFTER_S = 1.0  # after the wait
+
+
+def token_headers(config: ConsulConfig) -> tuple[tuple[str, str], ...]:
+    """The header with the token of the configuration, if there is one."""
+    return (("X-Consul-Token", config.token),) if config.token else ()
 
 
 class ConsulClient:
@@ -41,7 +50,7 @@
         self.stream: HttpStream | None = None
         self.failures = 0  # since the last success
         self.stopped = False
-        self.headers = (("X-Consul-Token", config.token),) if config.token else ()
+        self.headers = token_headers(config)
 
     def start(self) -> None:
         """Connects, unless `stopped` was set while a retry was waiting."""
@@ -73,13 +82,16 @@
         ) * random.uniform(1.0, 1.5)
 
 
-class BlockingQuery(ConsulClient):
-    """Repeats one blocking query until `stopped` is set.
+class BlockingQuery(Poller):
+    """Repeats one blocking query until `shut_down` is called.
 
-    `on_result` gets the decoded JSON list whenever Consul's index has changed. `on_index_reset` is called
-    before it if the index has gone backwards: Consul has lost its state, as by a restart.
+    `on_result` gets the decoded JSON list whenever Consul's index has changed. Before it, `on_index_reset` is
+    called if the index has gone backwards: Consul has lost its state, as by a restart; `on_reconnected` if
+    the answer came on another connection than the one before: Consul may have lost its state since.
     """
 
+    role = "consul"
+
     def __init__(
         self,
         config: ConsulConfig,
@@ -87,49 +99,49 @@
         path: str,
         on_result: Callable[[list], None],
         on_index_reset: Callable[[], None],
+        on_reconnected: Callable[[], None],
     ) -> None:
-        super().__init__(config, clock)
+        super().__init__(config.address, clock, token_headers(config))
         self.path = path
+        self.wait_s = min(config.wait_s, MAX_WAIT_S)
         self.on_result = on_result
         self.on_index_reset = on_index_reset
+        self.on_reconnected = on_reconnected
         self.index = 0  # of the latest result
-        self.wait_from_index = (
-            0  # the next query blocks until Consul's index is above it; 0: it does not block
-        )
-
-    def on_connected(self, stream: HttpStream) -> None:
-        # Consul may have restarted with a lower index; a query from the old one would block there.
-        self.wait_from_index = 0
-        super().on_connected(stream)
-
-    def send_next_request(self) -> None:
-        path = f"{self.path}?index={self.wait_from_index}&wait={self.config.wait_s:g}s"
-        timeout_s = self.config.wait_s * 17 / 16 + self.response_timeout_s()
-        self.stream.request("GET", path, timeout_s, headers=self.headers)
-
-    def on_response(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        """Passes on the result if it may have changed, and sends the next query.
-
-        Raises ValueError, KeyError or TypeError for an invalid response, which ends the connection.
+        self.answered_at = 0  # when it came
+        self.answered_poll: PollConnection | None = None  # on which it came
+        self.is_reset = False  # the latest answer was the first after Consul has lost its state
+
+    def next_request(self, poll: PollConnection) -> tuple[str, float]:
+        # The first query on a connection does not block: Consul may have restarted with a lower index, and a
+        # query from the old one would block there. The same holds after an index that went backwards.
+        blocks = poll.answers > 0 and not self.is_reset
+        path = f"{self.path}?index={self.index if blocks else 0}&wait={self.wait_s:g}s"
+        # Consul adds up to 1/16 to the wait.
+        return path, (self.wait_s * 17 / 16 if blocks else 0.0) + OVERDUE_AFTER_S
+
+    def handle_answer(self, poll: PollConnection, headers: dict[str, str], body: bytes) -> None:
+        """Passes on the result if it may have changed.
+
+        An answer with a lower index than the latest one's is only late if its query was sent before that one.
         """
-        if status != 200:
-            raise ValueError(f"status {status}")
         index, result = int(headers["x-consul-index"]), json.loads(body)
         if not isinstance(result, list):
             raise TypeError("not a JSON list")
         if index <= 0:  # a query with index 0 does not block: it would be repeated without a pause
             raise ValueError(f"X-Consul-Index must be above 0, is {index}")
-        is_reset, may_have_changed = index < self.index, index != self.index or not self.wait_from_index
-        # After a reset a query from the old index would block until Consul's new index passed it.
-        self.wait_from_index = 0 if is_reset else index
-        self.index = index
-        if is_reset:
+        if index < self.index and poll.asked_at < self.answered_at:
+            return
+        may_have_changed = index != self.index or poll is not self.answered_poll or self.is_reset
+        self.is_reset = index < self.index
+        is_other_connection = self.answered_poll is not None and poll is not self.answered_poll
+        self.index, self.answered_at, self.answered_poll = index, self.clock.now_us(), poll
+        if is_other_connection:
+            self.on_reconnected()
+        if self.is_reset:
             self.on_index_reset()
         if may_have_changed:
             self.on_result(result)
-        self.failures = 0
-        if self.stream is not None and not self.stream.end_code:
-            self.send_next_request()
 
 
 class Registration(ConsulClient):
--- a/chutefork/consul_membership.py
+++ b/chutefork/consul_membership.py
@@ -57,19 +57,24 @@
         self.retained_hubs: dict[str, messages.Hub] = {}
         self.retention_timer: IDelayedCall | None = None
         self.queries = tuple(
-            BlockingQuery(config, clock, f"/v1/{endpoint}/service/{name}", on_result, self.on_index_reset)
+            BlockingQuery(
+                config,
+                clock,
+                f"/v1/{endpoint}/service/{name}",
+                on_result,
+                self.on_index_reset,
+                self.on_reconnected,
+            )
             for endpoint, on_result in (("catalog", self.on_catalogue), ("health", self.on_health))
         )
 
     def start(self) -> None:
         for query in self.queries:
-            query.start()
+            query.connect()
 
     def stop(self) -> None:
         for query in self.queries:
-            query.stopped = True
-            if query.stream is not None:
-                query.stream.close("leaving")
+            query.shut_down()
         self.stop_retention_timer()
 
     def on_catalogue(self, result: list) -> None:
@@ -127,6 +132,9 @@
                 return state
         return SwitchState.READY
 
+    def on_reconnected(self) -> None:
+        """Consul may have lost its state since the answer before."""
+
     def on_index_reset(self) -> None:
         """Keeps the hubs published so far until Consul, which has lost its state, lists them again."""
         self.retained_hubs = {hub.name: hub for hub in self.published_hubs or ()}
--- a/tests/sip_harness.py
+++ b/tests/sip_harness.py
@@ -259,8 +259,8 @@
 class FakeConsul:
     """The catalog, health and agent APIs that the program uses, with blocking queries.
 
-    A query from an index is answered once the index is above it, or after `wait_s`; each answer comes
-    `delay_s` later than that.
+    A query from an index is answered once the index is above it, or after the wait it asks for, at most
+    `wait_s`; each answer comes `delay_s` later than that.
     """
 
     def __init__(self, port=0):
@@ -269,7 +269,7 @@
         self.started_ms = {}  # by name of the service; the metadata of those that are not here have none
         self.puts, self.queries = [], []
         self.agent_status = 200
-        self.connections = []
+        self.connections, self.silenced = [], set()  # silenced: those that get no answer any more
         self.condition = threading.Condition()
         consul = self
 
@@ -300,9 +300,12 @@
                     consul.queries.append((split.path, after))
                     consul.condition.notify_all()
                     if after:
-                        consul.condition.wait_for(lambda: consul.index > after, consul.wait_s)
+                        wait_s = min(consul.wait_s, float(query["wait"][0].removesuffix("s")))
+                        consul.condition.wait_for(lambda: consul.index > after, wait_s)
                     index, value = consul.index, consul.response_for(split.path)
                 time.sleep(consul.delay_s)
+                if self.connection in consul.silenced:
+                    return
                 try:
                     self.reply(200, value, X_Consul_Index=str(index))
                 except OSError:
@@ -364,6 +367,11 @@
             self.index += 1
             self.condition.notify_all()
 
+    def silence_open_connections(self):
+        """Never answers again on the connections that are open now; they stay open."""
+        with self.condition:
+            self.silenced.update(self.connections)
+
     def remove_service(self, name):
         with self.condition:
             del self.services[name]
--- a/tests/test_consul_outages.py
+++ b/tests/test_consul_outages.py
@@ -1,5 +1,6 @@
 """Tests of the real program: hub membership while Consul is slow, or after it has lost its state."""
 
+import time
 import unittest
 
 from twisted.internet.task import Clock
@@ -8,11 +9,14 @@
 from chutefork.net.clock import UnixClock
 from chutefork.sip.settings import ConsulConfig
 
-from .sip_harness import SipTestCase
+from .sip_harness import FakeConsul, SipTestCase
 
 # Above the wait of the tests' queries (2 s and 1/16 of it) with the shortest time limit for the answer (5 s).
 LATE_ANSWER_S = 7.5
 LEARNED_WITHIN_S = 30.0
+TOLD_AFTER_S = 7.0  # a change counts as told so long after Consul has it, whether it has arrived or not
+OUTAGE_S = 12.0
+TOLD_AFTER_OUTAGE_S = 6.0  # from when Consul can be reached again
 
 
 class SlowConsul(SipTestCase):
@@ -25,6 +29,39 @@
         self.expect_error(503)
 
 
+class SilentConsul(SipTestCase):
+    config_changes = {"wait_s = 2": "wait_s = 30"}
+
+    def setUp(self):
+        super().setUp()
+        self.consul.wait_s = 30.0
+
+    def test_drain_is_learned_although_the_open_queries_have_fallen_silent(self):
+        # Guards against a silent watch that is only given up after its wait of half a minute.
+        self.consul.wait_for_queries(self.consul.index)
+        self.consul.silence_open_connections()
+        drained_at = time.monotonic()
+        self.consul.set_service("hub-1", status="warning")
+        self.consul.wait_for_queries(self.consul.index)
+        self.assertLess(time.monotonic() - drained_at, TOLD_AFTER_S)
+        self.caller.send_invite()
+        self.expect_error(503)
+
+    def test_consul_is_asked_again_soon_after_an_outage(self):
+        # Guards against a pause between attempts that has grown with the length of the outage.
+        services, port = self.consul.services, self.consul.port
+        self.consul.close()
+        time.sleep(OUTAGE_S)
+        self.consul = FakeConsul(port)
+        self.consul.services, self.consul.index = services, 20
+        returned_at = time.monotonic()
+        self.consul.set_service("hub-1", status="warning")
+        self.consul.wait_for_queries(self.consul.index)
+        self.assertLess(time.monotonic() - returned_at, TOLD_AFTER_OUTAGE_S)
+        self.caller.send_invite()
+        self.expect_error(503)
+
+
 class ConsulRestarts(SipTestCase):
     config_changes = {"wait_s = 2": "wait_s = 20"}
 
