Keep the hubs when Consul returns with an empty list and a higher index

What callers saw: Consul restarted without its hubs, but with more registrations of other services than before.

Cause: a loss of Consul's state was told only from an index that goes backwards.

Change: the first answer on another connection may come from a Consul that has lost its state. If no hub at all is listed then, the hubs listed before are kept as after an index that went backwards. Consul that returns with some of its hubs and a higher index still removes the others: nothing tells that from a removal (open).

--- a/chutefork/consul_membership.py
+++ b/chutefork/consul_membership.py
@@ -1,12 +1,14 @@
 """Hub membership from Consul's catalogue and health endpoints, followed with blocking queries.
 
 A Consul that has lost its state lists the hubs only as they register again. Until then the hubs that it
-listed before are kept: its empty list says nothing about them.
+listed before are kept: its empty list says nothing about them. An index that goes backwards shows the loss.
+So does a list without any hub from a Consul that was reached on another connection: its index may be higher.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
@@ -56,6 +58,8 @@
         # Published before Consul lost its state, and not listed again since: by name.
         self.retained_hubs: dict[str, messages.Hub] = {}
         self.retention_timer: IDelayedCall | None = None
+        # Consul was reached on another connection, and has listed no hub since.
+        self.may_have_lost_state = False
         self.queries = tuple(
             BlockingQuery(
                 config,
@@ -133,12 +137,17 @@
         return SwitchState.READY
 
     def on_reconnected(self) -> None:
-        """Consul may have lost its state since the answer before."""
+        """Notes that Consul may have lost its state since the answer before."""
+        self.may_have_lost_state = True
 
     def on_index_reset(self) -> None:
+        """Handles the loss of Consul's state."""
+        self.retain_published_hubs("its index went backwards")
+
+    def retain_published_hubs(self, evidence: str) -> None:
         """Keeps the hubs published so far until Consul, which has lost its state, lists them again."""
         self.retained_hubs = {hub.name: hub for hub in self.published_hubs or ()}
-        log(f"note consul: index went backwards, {len(self.retained_hubs)} hubs kept until listed again")
+        log(f"note consul: {evidence}, {len(self.retained_hubs)} hubs kept until listed again")
         self.stop_retention_timer()
 
     def stop_retention_timer(self) -> None:
@@ -163,13 +172,18 @@
         """
         if self.hubs_by_id is None or self.states_by_id is None:
             return
-        hubs_by_name = dict(self.retained_hubs)
-        for name, hub in self.hubs_by_id.items():
-            state = self.states_by_id.get(name)
-            if state is None:
-                continue
+        listed = {
+            name: replace(hub, state=self.states_by_id[name])
+            for name, hub in self.hubs_by_id.items()
+            if name in self.states_by_id
+        }
+        if listed:
+            self.may_have_lost_state = False
+        elif self.may_have_lost_state and self.published_hubs and not self.retained_hubs:
+            self.retain_published_hubs("no hub is listed after a reconnect")
+        hubs_by_name = {**self.retained_hubs, **listed}
+        for name in listed:
             self.retained_hubs.pop(name, None)
-            hubs_by_name[name] = messages.Hub(hub.name, hub.number, state, hub.address, hub.started_at)
         hubs = tuple(hub for _, hub in sorted(hubs_by_name.items()) if hub.state is not SwitchState.GONE)
         if hubs != self.published_hubs:
             self.published_hubs = hubs
--- a/tests/test_consul_outages.py
+++ b/tests/test_consul_outages.py
@@ -98,6 +98,24 @@
         self.caller.expect("BYE")
         self.expect_error(404)
 
+    def test_restart_of_consul_with_an_empty_catalogue_and_a_higher_index_removes_no_hub(self):
+        # Guards against emptied routes when other services have registered before the hubs.
+        self.establish_call()
+        before = dict(self.consul.services)
+        self.consul = self.consul.restarted(self.consul.index + 20, {})
+        self.consul.wait_for_queries(self.consul.index)
+        self.caller.expect_silence(0.3)
+        self.caller.send_invite()
+        self.hub1.reply(self.hub1.expect("INVITE"), 486)
+        self.expect_error(486)
+        self.consul.register(before)
+        self.consul.wait_for_queries(self.consul.index)
+        self.consul.set_service("hub-1", status="critical")
+        self.consul.wait_for_queries(self.consul.index)
+        self.caller.send_invite()
+        self.caller.expect("BYE")
+        self.expect_error(404)
+
     def test_hub_that_drained_before_consul_lost_its_state_gets_no_new_calls(self):
         # Guards against a hub that is kept from before the restart in another state than its last one.
         self.consul.set_service("hub-1", status="warning")
