Notice the silence of an exchange with calls within 5 s although set-ups keep coming

Cause: while a set-up waits, only its own limit counted, which doubles with each renewal of the quiet connection, up to 32 times; each further set-up started that time anew.

Change: with calls that stand at the exchange, 5 s without a frame end the connection, whether or not set-ups wait.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -86,7 +86,8 @@
         This counts while a set-up is pending on it or calls are established at the exchange. A set-up that
         was overdue already when the last frame came does not count: its answer alone is lost, which says
         nothing about the connection. The limit doubles with each connection in a row that was closed as
-        silent, up to five times; with established calls only it is at most MAX_ESTABLISHED_SILENCE_US.
+        silent, up to five times. With established calls, set-ups that keep coming do not put off the end of
+        a silence of MAX_ESTABLISHED_SILENCE_US.
         """
         (min_us, max_us), doublings = SILENCE_LIMITS_US, min(self.link.consecutive_silences, 5)
         gap_limit_us = (
@@ -102,12 +103,14 @@
             ),
             None,
         )
-        if waiting_since is None and not self.link.backend.has_established_calls(self.link.hub.name):
+        if waiting_since is not None and now - max(waiting_since, self.last_frame_at) > limit_us:
+            return True
+        if not self.link.backend.has_established_calls(self.link.hub.name):
             return False
+        limit_us = MAX_ESTABLISHED_SILENCE_US
         if waiting_since is None:
-            waiting_since = 0
-            limit_us = min(gap_limit_us << doublings, MAX_ESTABLISHED_SILENCE_US)
-        return now - max(waiting_since, self.last_frame_at) > limit_us
+            limit_us = min(gap_limit_us << doublings, limit_us)
+        return now - self.last_frame_at > limit_us
 
     def send_release(self, call: int) -> bool:
         """Sends a release and remembers it until it is confirmed; False as for `send`."""
