Judge an exchange as down by when it was last reached, draining ones too

An exchange was down if a connection failed 6 s after its last frame, however quiet it is; and a draining one, which accepts no connection, was never looked at.

Change: what counts is when the exchange was last reached, by a frame or a connection: 6.5 s later its calls end. Attempts to connect last 1.25 s at least; set-ups still wait for connect_timeout_s only. To a silent draining exchange with calls a connection is attempted beside the open one; a refusal shows that the machine is there. An address that has moved no longer waits for the attempt to the old one.

--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet import error
+from twisted.internet.interfaces import IConnector
 from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import Int16StringReceiver
 
@@ -38,16 +39,16 @@
     "sub": Reason.LINES_BUSY,
 }
 SILENCE_CHECK_INTERVAL_S = 0.025
-# With no connection and no frame for this long, the calls at the exchange are over.
-HUB_DOWN_AFTER_US = 6_000_000
+# An exchange that has not been reached for this long is taken for down, and its calls are over: callers learn
+# within 8 s. A connection to a quiet exchange is renewed after 5 s, and may come up 1 s late.
+HUB_DOWN_AFTER_US = 6_500_000
+MIN_CONNECT_TIMEOUT_S = 1.25  # connections may come up late; set-ups do not wait that long for one
 MIN_ANSWER_TIMEOUT_US = 60_000
 # Silence limit, in mean gaps between frames, before the first answer or while no set-up is pending.
 SILENCE_GAPS = 40
 # Minimum and maximum of that limit; the maximum also holds for the limit from the answer timeout.
 SILENCE_LIMITS_US = (150_000, 1_500_000)
-# Maximum with established calls and no pending set-up, after doublings. With the time to find the exchange
-# unreachable, callers learn within 8 s that their calls there are over.
-MAX_ESTABLISHED_SILENCE_US = 5_000_000
+MAX_ESTABLISHED_SILENCE_US = 5_000_000  # with established calls, after doublings
 ANSWER_TIME_WINDOW = 16  # answers over which their time and its deviation are smoothed
 MAX_IDLE_SHARE = 0.9  # of the time after which exchanges close idle connections
 MAX_QUEUED_RELEASES = 10_000
@@ -105,7 +106,7 @@
         )
         if waiting_since is not None and now - max(waiting_since, self.last_frame_at) > limit_us:
             return True
-        if not self.link.backend.has_established_calls(self.link.hub.name):
+        if not self.link.has_established_calls():
             return False
         limit_us = MAX_ESTABLISHED_SILENCE_US
         if waiting_since is None:
@@ -148,7 +149,7 @@
         self.messages_received += 1
         now = self.clock.now_us()
         self.mean_gap_us += (now - self.last_frame_at - self.mean_gap_us) / min(self.messages_received, 50)
-        self.last_frame_at = self.link.last_frame_at = now
+        self.last_frame_at = self.link.last_reached_at = now
         self.confirm_releases(now)
         try:
             self.link.frame_received(decode_frame(string))
@@ -185,32 +186,73 @@
         self.accepts_setups = True
         self.keep_connection = True
         self.connection: ExchangeProtocol | None = None
-        self.connecting = False
+        self.connector: IConnector | None = None  # while a connection is being made
         self.failed_connects = 0  # in a row
+        self.tried = False  # a connection has been made, has failed or is late
         self.retry_timer = None
+        self.late_timer = None  # while a connection is being made: when the set-ups stop waiting for it
         # waiting for the connection: call -> set-up, when queued
         self.queued_setups: dict[int, tuple[messages.SetUp, int]] = {}
         self.queued_releases: list[int] = []  # calls
-        self.last_frame_at = self.clock.now_us()
+        self.last_reached_at = self.clock.now_us()  # latest frame or connection made; at first: the start
         # connections in a row closed as silent; from the second on the exchange itself counts as silent
         self.consecutive_silences = 0
         self.mean_answer_us = self.answer_deviation_us = 0.0  # smoothed time to an answer, its mean deviation
 
     def connect(self) -> None:
+        """Opens a connection, unless there is one, or one is being made."""
         self.retry_timer = None
-        if self.connecting or self.connection is not None or not self.keep_connection:
+        if self.connection is None and self.keep_connection:
+            self.open_connection()
+
+    def open_connection(self) -> None:
+        """Opens a connection unless one is being made; it takes the place of the present one, if any."""
+        if self.connector is not None:
             return
         host, _, port = self.hub.address.rpartition(":")
-        self.connecting = True
         self.address = self.hub.address
-        self.clock.connectTCP(host, int(port), _LinkFactory(self), timeout=self.backend.connect_timeout_s)
+        timeout_s = max(self.backend.connect_timeout_s, MIN_CONNECT_TIMEOUT_S)
+        self.connector = self.clock.connectTCP(host, int(port), _LinkFactory(self), timeout=timeout_s)
+        self.late_timer = self.clock.callLater(self.backend.connect_timeout_s, self.connection_late)
+
+    def connecting_ended(self) -> None:
+        """Notes that the attempt to connect has succeeded or failed."""
+        self.connector, self.tried = None, True
+        if self.late_timer is not None and self.late_timer.active():
+            self.late_timer.cancel()
+        self.late_timer = None
+        self.backend.check_all_tried()
 
-    def connected(self, connection: ExchangeProtocol) -> None:
-        self.connecting, self.failed_connects, self.connection = False, 0, connection
+    def connection_late(self) -> None:
+        """Ends the queued set-ups, since the connection is late; it may still come up."""
+        self.tried = True
         self.backend.check_all_tried()
+        self.late_timer = self.clock.callLater(self.backend.connect_timeout_s, self.connection_late)
+        if self.connection is None:
+            self.fail_queued_setups("late")
+
+    def fail_queued_setups(self, code: str) -> None:
+        """Ends the queued set-ups, of which none has reached the exchange; `code` is for the log."""
+        unsent, self.queued_setups = self.queued_setups, {}
+        if unsent:
+            self.log_unreached(code)
+        for call in unsent:
+            self.backend.driver.post(messages.AttemptEnded(call, self.hub.name, Outcome.UNREACHABLE))
+
+    def log_unreached(self, code: str) -> None:
+        log(f"end role=exchange peer={self.hub.name}@{self.hub.address} code={code} age_ms=0 in=0 out=0")
+
+    def connected(self, connection: ExchangeProtocol) -> None:
+        """Uses a new connection, also in place of a silent one."""
+        self.connecting_ended()
+        silent, self.connection = self.connection, connection
+        self.failed_connects, self.last_reached_at = 0, self.clock.now_us()
         if not self.keep_connection or self.address != self.hub.address:
             connection.close("let-go")
             return
+        if silent is not None:
+            silent.close("silent")
+            self.connection_lost(silent)
         for call in self.queued_releases:
             connection.send_release(call)
         self.queued_releases.clear()
@@ -227,36 +269,47 @@
             self.send(*self.queued_setups.pop(call))
 
     def connect_failed(self, reason: object) -> None:
-        """Ends the queued set-ups, of which none has reached the exchange.
+        """Ends the queued set-ups and tries again later.
 
-        A refused connection proves that no process is listening there.
+        A refused connection proves that no process is listening there. While there is a connection, it only
+        shows that the machine is there: a draining exchange accepts no new connection.
         """
-        self.connecting = False
+        self.connecting_ended()
+        if self.address != self.hub.address:
+            self.connect()
+            return
         refused = reason.check(error.ConnectionRefusedError) is not None
-        if not self.failed_connects or self.queued_setups:
-            log(
-                f"end role=exchange peer={self.hub.name}@{self.hub.address}"
-                f" code={'refused' if refused else 'unreached'} age_ms=0 in=0 out=0"
-            )
+        if self.connection is not None:
+            if refused:
+                self.last_reached_at = self.clock.now_us()
+            return
+        if not self.failed_connects and not self.queued_setups:
+            self.log_unreached("refused" if refused else "unreached")
         self.failed_connects += 1
-        self.backend.check_all_tried()
-        unsent, self.queued_setups = self.queued_setups, {}
-        if self.keep_connection and self.connection is None:
+        if self.keep_connection:
             delay_us = RETRY_DELAYS_US[min(self.failed_connects, len(RETRY_DELAYS_US)) - 1]
             self.retry_timer = self.clock.callLater(delay_us / 1e6, self.connect)
-        for call in unsent:
-            self.backend.driver.post(messages.AttemptEnded(call, self.hub.name, Outcome.UNREACHABLE))
-        is_down = refused or self.clock.now_us() - self.last_frame_at > HUB_DOWN_AFTER_US
+        self.fail_queued_setups("refused" if refused else "unreached")
         if refused:
             self.queued_releases.clear()  # a process that is not there holds no calls
-        if is_down:  # the exchange cannot report the ends of its calls, so their callers get them from here
+            self.backend.driver.post(messages.HubDown(self.hub.name))
+
+    def has_established_calls(self) -> bool:
+        return self.backend.has_established_calls(self.hub.name)
+
+    def check_down(self, now: int) -> None:
+        """Ends the calls at an exchange that has not been reached for too long.
+
+        It cannot report their ends, so that their callers get them from here.
+        """
+        if now - self.last_reached_at > HUB_DOWN_AFTER_US and self.has_established_calls():
             self.backend.driver.post(messages.HubDown(self.hub.name))
 
     def connection_lost(self, connection: ExchangeProtocol) -> None:
         """Ends the set-ups of a connection that has ended or is being closed; only once."""
         if self.connection is connection:
             self.connection = None
-            if self.keep_connection and self.retry_timer is None and not self.connecting:
+            if self.keep_connection and self.retry_timer is None and self.connector is None:
                 self.retry_timer = self.clock.callLater(RETRY_DELAYS_US[0] / 1e6, self.connect)
         unconfirmed, connection.unconfirmed_releases = connection.unconfirmed_releases, {}
         if connection.end_code in UNEXPECTED_END_CODES:
@@ -284,8 +337,13 @@
         checks in a row, so that frames that have arrived in the meantime are read first.
         """
         connection = self.connection
-        if connection is None or not self.accepts_setups:
-            # A draining exchange sends few frames, and accepts no new connection for the calls it still has.
+        if connection is None:
+            return
+        if not self.accepts_setups:
+            # A draining exchange sends few frames, and accepts no new connection for the calls it still has:
+            # its connection stays. That another one is refused shows that its machine is there.
+            if now - self.last_reached_at > MAX_ESTABLISHED_SILENCE_US and self.has_established_calls():
+                self.open_connection()
             return
         silent_before, connection.found_silent = connection.found_silent, connection.is_silent(now)
         if silent_before and connection.found_silent:
@@ -477,6 +535,7 @@
         """Checks all links for silence, now and at every SILENCE_CHECK_INTERVAL_S from now on."""
         for link in list(self.links.values()):
             link.check_silence(self.clock.now_us())
+            link.check_down(self.clock.now_us())
         self.clock.callLater(SILENCE_CHECK_INTERVAL_S, self.check_silences)
 
     def has_established_calls(self, hub: str) -> bool:
@@ -484,8 +543,7 @@
         return entry is not None and bool(entry.established_calls)
 
     def check_all_tried(self) -> None:
-        untried = any(link.connection is None and not link.failed_connects for link in self.links.values())
-        if self.links and not untried and self.on_all_tried is not None:
+        if self.links and all(link.tried for link in self.links.values()) and self.on_all_tried is not None:
             self.on_all_tried()
             self.on_all_tried = None
 
@@ -505,6 +563,8 @@
         )
         if moved:
             link.drop_connection("moved")
+            if link.connector is not None:
+                link.connector.stopConnecting()
         elif restarted and link.connection is not None:
             if link.connection.last_frame_at < effect.hub.started_at:
                 # The present process has sent nothing on it. If the one before vanished, it leads nowhere.
