Wait 0.1 s before a call goes to the hub again that has ended its attempt

Cause: frames carry the call's id and no number of the attempt, and after a signalling error the same exchange was tried again without a wait.

Change: the reducer defers a set-up to the hub of the latest attempt until 0.1 s after that attempt's end. Other hubs get theirs at once.

--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -22,6 +22,9 @@
 # Added to the release wait: a release may take longer to reach its hub than the next set-up takes to reach
 # another one.
 RELEASE_MARGIN_US = 50_000
+# How long a hub gets no further attempt of a call after it has ended one: a second copy of its message, which
+# may come some milliseconds late, would be taken for the end of the next attempt.
+SAME_HUB_PAUSE_US = 100_000
 # How long the id of a finished call is kept, so that late answers and releases for it are recognized.
 FINISHED_CALL_RETENTION_US = 30 * US_PER_SECOND
 
@@ -36,7 +39,9 @@
     pending_hub: str | None = None  # name of the hub that the open attempt was sent to; None: none open
     sent_at: int = 0  # when the latest set-up was sent; 0: none sent
     release_wait_until: int = 0  # end of the release wait, before which no set-up may be sent
-    deferred_setup: api.SetUp | None = None  # set-up to be sent at the end of the release wait
+    last_hub: str | None = None  # that the latest attempt was sent to
+    last_hub_until: int = 0  # before this no set-up may be sent to `last_hub`
+    deferred_setup: api.SetUp | None = None  # set-up to be sent at the end of these waits
     last_result: tuple[api.Outcome, api.Reason] | None = None  # of the latest attempt; None: none has ended
 
 
@@ -134,9 +139,12 @@
     entry = state.hubs.get(hub_name) if hub_name is not None else None
     if call is None or call.pending_hub is not None:
         return
-    if now < call.release_wait_until:  # the release wait holds whatever the controller asks for
+    earliest = call.release_wait_until
+    if hub_name == call.last_hub:
+        earliest = max(earliest, call.last_hub_until)
+    if now < earliest:  # the waits hold whatever the controller asks for
         call.deferred_setup = action
-        _add_timer(state, call.release_wait_until, "deferred_setup", action.call)
+        _add_timer(state, earliest, "deferred_setup", action.call)
         return
     timeout_us = min(round(action.abandon_at_s * US_PER_SECOND) or call.answer_by, call.answer_by) - now
     accepts_setups = entry is not None and entry.hub.state is api.SwitchState.READY
@@ -149,7 +157,8 @@
         )
         return
     call.attempts += 1
-    call.pending_hub, call.sent_at, call.deferred_setup = hub_name, now, None
+    call.pending_hub = call.last_hub = hub_name
+    call.sent_at, call.deferred_setup = now, None
     _add_timer(state, now + timeout_us, "attempt_timeout", action.call, call.attempts)
     effects.append(messages.SetUp(action.call, hub_name, timeout_us))
 
@@ -209,9 +218,12 @@
     """Ends the attempt of a call that is not established, and lets the controller decide how to go on.
 
     `switch` is the controller's number of the hub. Outcomes that leave a release under way (TIMEOUT, CUT and
-    CANCELLED) start the release wait. `retry_after_us` is what the hub asked for; None: nothing.
+    CANCELLED) start the release wait; all start the pause for the same hub. `retry_after_us` is what the hub
+    asked for; None: nothing.
     """
     elapsed_s = (now - call.sent_at) / US_PER_SECOND if call.pending_hub is not None else 0.0
+    if call.pending_hub is not None:
+        call.last_hub_until = now + SAME_HUB_PAUSE_US
     call.pending_hub = None
     call.last_result = outcome, reason
     if outcome in (api.Outcome.TIMEOUT, api.Outcome.CUT, api.Outcome.CANCELLED):
