Hold back and count effects that break a rule; log why calls are refused, retried or cut

No line told why a call was refused or tried again, and nothing but the reducer itself kept its rules.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -42,7 +42,7 @@
         self.clock = clock
         self.config = config
         self.unix_clock = UnixClock()
-        self.driver = Driver(State.initial(config.settings), clock)
+        self.driver = Driver(State.initial(config.settings), clock, "platform")
         self.frontend = CallerFrontend(self.driver, config, clock)
         self.backend = ExchangeBackend(
             self.driver, self.frontend, clock, config.connect_timeout_s, config.idle_close_s
@@ -58,6 +58,7 @@
         self.listening_port = self.clock.listenTCP(port, self.frontend.factory, backlog=512, interface=host)
         self.frontend.start()
         self.backend.check_silences()
+        self.driver.call_log.start()
         log(f"serving name={self.config.name} listen={host}:{self.listening_port.getHost().port}")
 
     def reload(self) -> None:
@@ -116,6 +117,7 @@
         if self.frontend.connections and self.clock.now_us() < schedule.exit_by:
             self.clock.callLater(CHECK_INTERVAL_S, self.wait_for_connections, schedule, on_stopped)
         else:
+            self.driver.call_log.log_counts()
             on_stopped()
 
 
--- a/chutefork/net/driver.py
+++ b/chutefork/net/driver.py
@@ -8,7 +8,10 @@
 from twisted.logger import Logger
 
 from ..core import messages
+from ..core.guard import EffectGuard
 from ..core.reducer import State, reduce
+from ..interface import Outcome
+from .call_log import CallLog
 from .clock import CachedClockReactor
 from .connection import log
 
@@ -35,9 +38,11 @@
 class Driver:
     """Runs the reducer: one event at a time, each event's effects carried out before the next event."""
 
-    def __init__(self, state: State, clock: CachedClockReactor) -> None:
+    def __init__(self, state: State, clock: CachedClockReactor, name: str) -> None:
         self.state = state
         self.clock = clock
+        self.guard = EffectGuard(state.settings)
+        self.call_log = CallLog(name, clock)
         self.pending_events: deque[messages.Event] = deque()
         self.running = False
         self.wake_up_timer = None
@@ -84,17 +89,31 @@
         carried out. A call that it leaves without a final answer gets one from the timer that was set when
         it was accepted.
         """
+        now = self.clock.now_us()
+        self.call_log.event(event)
         try:
-            effects = reduce(self.state, event, self.clock.now_us())
+            self.guard.observe(event, now)
+            effects = reduce(self.state, event, now)
         except Exception:
             logger.failure("event {event!r}", event=type(event).__name__)
             return
         for effect in effects:
             try:
-                self.handlers[type(effect)](effect)
+                self.carry_out(effect, now)
             except Exception:
                 logger.failure("effect {effect!r}", effect=type(effect).__name__)
 
+    def carry_out(self, effect: messages.Effect, now: int) -> None:
+        """Has an effect handled unless it breaks a rule; the core learns that a set-up was not sent."""
+        rule = self.guard.check(effect, now)
+        if rule is None:
+            self.call_log.effect(effect)
+            self.handlers[type(effect)](effect)
+            return
+        self.call_log.violation(rule, effect)
+        if isinstance(effect, messages.SetUp):
+            self.post_later(messages.AttemptEnded(effect.call, effect.hub, Outcome.NOT_SENT))
+
     def wake_at(self, effect: messages.WakeAt) -> None:
         """Sets the one wake-up timer, replacing the time set before; the reducer gets WakeUpDue then."""
         delay_s = max(effect.at - self.clock.now_us(), 0) / 1e6
--- a/chutefork/net/token_bucket.py
+++ b/chutefork/net/token_bucket.py
@@ -12,6 +12,14 @@
         self.tokens = burst
         self.updated_at_s = 0.0
 
+    def try_take(self, now_s: float) -> bool:
+        """Takes one token if there is one; returns whether there was."""
+        elapsed_s = max(now_s - self.updated_at_s, 0.0)
+        if self.tokens + elapsed_s * self.rate_per_s < 1:
+            return False
+        self.take(now_s)
+        return True
+
     def take(self, now_s: float) -> float:
         """Takes one token; returns how long the taker has to wait until the bucket is out of debt."""
         elapsed_s = max(now_s - self.updated_at_s, 0.0)
--- a/chutefork/sip/node.py
+++ b/chutefork/sip/node.py
@@ -30,7 +30,7 @@
     def __init__(self, config: SipConfig, clock: CachedClockReactor) -> None:
         self.config = config
         self.clock = clock
-        self.driver = Driver(State.initial(config.settings), clock)
+        self.driver = Driver(State.initial(config.settings), clock, "sip")
         self.transport = SipTransport(clock, config.listen, config.connect_timeout_s, config.sockets)
         self.agent = SipAgent(self.transport, clock, Timing(config.t1_s), config.advertise)
         self.backend = SipBackend(self.driver, self.agent, config)
@@ -44,6 +44,7 @@
     def start(self) -> None:
         self.transport.start()
         self.membership.start()
+        self.driver.call_log.start()
         if self.config.consul.register:
             self.registration = Registration(
                 self.config.consul,
@@ -110,4 +111,5 @@
     def close(self, on_stopped: Callable[[], None]) -> None:
         for stream in list(self.transport.streams):
             stream.close("leaving")
+        self.driver.call_log.log_counts()
         self.clock.callLater(0.05, on_stopped)
