Process what callers send until they close, and close after them, at the end of a shutdown

Cause: at the end of a shutdown all connections were closed both ways at once; what had arrived or was on its way was thrown away, and answered with a reset that may also overtake the last answers.

Change: the program ends its own direction (Connection.finish) and goes on processing releases for up to 0.5 s, within the time limit of the shutdown, until the callers have closed; then come the exchanges. Set-ups that cross the end are not accepted: callers send them again.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -29,6 +29,9 @@
 from .sip import settings as sip_settings
 from .sip.node import SipNode
 
+CALLERS_WAIT_S = 0.5  # at the end, for callers to close their connections
+LAST_OUTPUT_S = 0.03  # for connections that are closed to pass their output to the system
+
 
 class PlatformNode:
     """All parts of the platform's protocol, their start and their shutdown.
@@ -106,19 +109,24 @@
             return
         log(f"left unanswered={len(self.frontend.unanswered)} standing={len(self.frontend.established)}")
         self.driver.post(Shutdown())  # SIGKILL may be near: refuses every call that is still unanswered
+        for connection in list(self.frontend.connections):
+            connection.finish("leaving")
+        wait_until = min(self.clock.now_us() + round(CALLERS_WAIT_S * 1e6), schedule.exit_by)
+        self.wait_for_callers(wait_until, on_stopped)
+
+    def wait_for_callers(self, wait_until: int, on_stopped: Callable[[], None]) -> None:
+        """Leaves callers time to read their last answers and to close; passes on what they still send."""
+        now = self.clock.now_us()
+        if self.frontend.connections and now < wait_until:
+            delay_s = min(CHECK_INTERVAL_S, (wait_until - now) / 1e6)
+            self.clock.callLater(delay_s, self.wait_for_callers, wait_until, on_stopped)
+            return
         for connection in list(self.frontend.connections):
             connection.close("leaving")
         self.backend.shut_down()
         self.channel.shut_down()
-        self.wait_for_connections(schedule, on_stopped)
-
-    def wait_for_connections(self, schedule: ShutdownSchedule, on_stopped: Callable[[], None]) -> None:
-        """Leaves the caller connections time to send their last output."""
-        if self.frontend.connections and self.clock.now_us() < schedule.exit_by:
-            self.clock.callLater(CHECK_INTERVAL_S, self.wait_for_connections, schedule, on_stopped)
-        else:
-            self.driver.call_log.log_counts()
-            on_stopped()
+        self.driver.call_log.log_counts()
+        self.clock.callLater(LAST_OUTPUT_S, on_stopped)
 
 
 def load_configurations() -> tuple[Config | None, sip_settings.SipConfig | None]:
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -167,6 +167,8 @@
             return  # progress and kinds of later versions need no action
         if not UID.match(uid):
             self.close("bad-line", "uid is not 16 hex digits")
+        elif kind == "launch" and self.finish_code:
+            return  # it has crossed the end of the connection: the caller sends it again on another one
         elif kind == "launch":
             self.frontend.launch(self, int(uid, 16), uid, record)
         else:
--- a/chutefork/net/connection.py
+++ b/chutefork/net/connection.py
@@ -61,6 +61,7 @@
     end_code = ""
     end_detail = ""
     write_blocked = False  # the transport's buffer is full: nothing is written to it
+    finish_code = ""  # why nothing more is sent, while the peer is still heard; see `finish`
     closed = False  # connectionLost has run
     processing_input = False  # process_input must not be entered again from a callback
     abort_timer = read_pause_timer = None
@@ -152,7 +153,7 @@
         Returns False if the connection has ended or ends now by overflow of the output buffer; True does not
         mean that the peer has received the message.
         """
-        if self.closed or self.end_code:
+        if self.closed or self.end_code or self.finish_code:
             return False
         if not self.output_buffer.append(data):
             self.close("out-overflow", at_once=True)
@@ -179,6 +180,21 @@
     def stopProducing(self) -> None:  # noqa: N802
         self.write_blocked = True
 
+    def finish(self, code: str) -> None:
+        """Ends the connection in this direction: queued output is sent, and after it nothing more.
+
+        Input is still processed until the peer closes the connection too. Closed at once, what the peer has
+        sent meanwhile would be lost, and the reset in answer to it might reach the peer before it has read
+        its last messages. `code` goes into the log line.
+        """
+        if self.closed or self.end_code or self.finish_code:
+            return
+        self.finish_code = code
+        self.write_blocked = False
+        self.flush_output()
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+
     def close(self, code: str, detail: str = "", at_once: bool = False) -> None:
         """Closes the connection; `code` and `detail` go into its log line.
 
@@ -204,7 +220,9 @@
         for timer in (self.abort_timer, self.read_pause_timer):
             if timer is not None and timer.active():
                 timer.cancel()
-        if not self.end_code:
+        if not self.end_code and self.finish_code:
+            self.end_code = self.finish_code
+        elif not self.end_code:
             if reason.check(error.ConnectionDone):
                 self.end_code = "peer-closed"
             elif reason.check(error.ConnectionLost):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -713,6 +713,20 @@
         self.assertLess(time.monotonic() - began, 3.7)
         self.assertEqual(self.program.wait_for_exit(), 0)
 
+    def test_release_by_a_caller_that_crosses_the_end_of_its_connection_reaches_the_exchange(self):
+        # Guards against a call left standing because its release came just as the program closed.
+        caller = self.caller()
+        self.establish_call(caller)
+        self.exchange1.send_states()  # otherwise its quiet connection is renewed
+        self.terminate()
+        self.program.wait_log("left unanswered=0 standing=1")
+        caller.send(kind="stop", uid=A, meta={}, reason=16)
+        caller.launch(B)  # crosses it too: the caller sends it again elsewhere
+        self.assertEqual(self.exchange1.read()[:2], (12, A))
+        self.assertIsNone(caller.read())
+        self.assertIsNone(self.exchange1.read())
+        self.assertEqual(self.program.wait_for_exit(), 0)
+
     def test_each_connection_logs_one_line_at_its_end(self):
         for _ in range(3):
             self.caller().close()
