End the call of a hub that answers an INVITE of the process before

Cause: the new process drops a 2xx that matches no transaction, and the old one has ended.

Change: a 2xx from a listed hub to an INVITE with this program's Via, which no transaction here has sent, gets an ACK and a BYE, as RFC 3261 asks of a client that no longer wants the call. Others' are dropped as before.

Evidence: tests/test_sip_restarts.py 13 passed, among them the new case over UDP and TCP and one of a stranger's 2xx.

--- a/chutefork/sip/message.py
+++ b/chutefork/sip/message.py
@@ -178,6 +178,19 @@
     return request
 
 
+def request_of(response: Response) -> Request:
+    """What a response tells of its request: method, From, To, Call-ID and CSeq; it is not to be sent."""
+    return new_request(
+        response.cseq.method,
+        str(response.to_address.uri),
+        response.via[0],
+        response.headers["From"],
+        response.headers["To"],
+        response.call_id,
+        response.cseq.sequence,
+    )
+
+
 def set_body(message: Request | Response, body: bytes, content_type: str = "application/sdp") -> None:
     """Sets the body and Content-Length, and Content-Type unless the body is empty."""
     message.body = body
--- a/chutefork/sip/recovery.py
+++ b/chutefork/sip/recovery.py
@@ -147,12 +147,17 @@
 
 
 class DialogRecovery:
-    """Passes on a BYE for a dialog of an earlier process to the other side of the call."""
+    """Ends calls of an earlier process.
+
+    Passes on a BYE for one of its dialogs to the other side of the call, and ends a call that a hub has
+    answered after that process has ended.
+    """
 
     def __init__(self, agent: SipAgent, backend: SipBackend) -> None:
         self.agent = agent
         self.backend = backend
         agent.on_unknown_bye = self.bye_received
+        agent.layer.on_unmatched_answer = self.answer_received
 
     def bye_received(self, server: ServerTransaction) -> bool:
         """Ends the other side of the call of a BYE that matches no dialog; False if that is not possible."""
@@ -172,6 +177,34 @@
         log(f"note sip: call from before the restart ended, BYE sent to its {reference.side.value}")
         return True
 
+    def answer_received(self, response: sip.Response, source: Target) -> bool:
+        """Ends the call of a hub's 2xx to an INVITE that no transaction here has sent; False for others' 2xx.
+
+        The hub repeats its 2xx because the process that sent the INVITE has not acknowledged it: that process
+        has ended, or has given the attempt up.
+        """
+        via = response.via[0]
+        is_own = (via.host, via.port or 5060) == self.agent.address and len(response.via) == 1
+        if not is_own or not self._is_from_hub(source):
+            return False
+        try:
+            dialog = Dialog.of_uac(sip.request_of(response), response, source)
+            ack, target = dialog.create_request("ACK", self.agent.address, response.cseq.sequence)
+        except ValueError:
+            return False
+        self.agent.transport.send(bytes(ack), target)
+        self.agent.send_bye(dialog)
+        log("note sip: a hub has answered an INVITE from before the restart, or given up; BYE sent to it")
+        return True
+
+    def _is_from_hub(self, source: Target) -> bool:
+        """Whether the source is a listed hub; over TCP its port may be another one."""
+        for hub, _ in self.backend.hubs.values():
+            host, _, port = hub.address.partition(";")[0].rpartition(":")
+            if source.host == host and (source.transport == "TCP" or str(source.port) == port):
+                return True
+        return False
+
     def _is_plausible(self, reference: DialogReference, source: Target) -> bool:
         """Whether one side of the call is a listed hub: otherwise anyone could have BYEs sent anywhere."""
         hub_addresses = [hub.address.partition(";")[0] for hub, _ in self.backend.hubs.values()]
--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -302,7 +302,8 @@
     """Matches each message to its transaction.
 
     `on_request` is called with the transaction of each new request, `on_ack` with each ACK that is not for a
-    3xx to 6xx response of a known transaction, such as one for a 2xx.
+    3xx to 6xx response of a known transaction, such as one for a 2xx. `on_unmatched_answer` is called with
+    each 2xx to an INVITE that no transaction here has sent, and returns whether it was handled.
     """
 
     def __init__(self, transport: SipTransport, clock: CachedClockReactor, timing: Timing) -> None:
@@ -317,6 +318,7 @@
         self.clients: dict[tuple, ClientTransaction] = {}
         self.on_request: Callable[[ServerTransaction], None] = lambda transaction: None
         self.on_ack: Callable[[sip.Request], None] = lambda request: None
+        self.on_unmatched_answer: Callable[[sip.Response, Target], bool] = lambda response, source: False
         transport.on_message = self.receive
 
     def mark_known(self, peer: Target) -> None:
@@ -399,6 +401,9 @@
             if client is not None and len(message.via) == 1:
                 self.mark_known(source)
                 client.response_received(message)
+            elif client is None and message.cseq.method == "INVITE" and 200 <= message.code < 300:
+                if not self.on_unmatched_answer(message, source):
+                    self.transport.drop(f"{source.host}:{source.port}", f"unmatched response {message.code}")
             else:
                 self.transport.drop(f"{source.host}:{source.port}", f"unmatched response {message.code}")
             return
--- a/tests/test_sip_restarts.py
+++ b/tests/test_sip_restarts.py
@@ -1,6 +1,6 @@
 """The SIP side of the real program after its restart: calls from before end on either side."""
 
-from .sip_harness import SDP, SipTestCase, contact_uri
+from .sip_harness import ANSWER, SDP, SipEndpoint, SipTestCase, contact_uri
 
 
 class RestartTests:
@@ -39,6 +39,32 @@
         self.caller.reply(bye, 200)
         self.caller.expect_silence()
 
+    def test_call_that_a_hub_answers_after_a_restart_is_ended_there(self):
+        # Guards against a call left standing at a hub that hung while the process before gave its call up.
+        self.caller.send_invite()
+        invite = self.hub1.expect("INVITE")
+        self.restart()
+        self.hub1.reply(invite, 200, ANSWER)
+        self.hub1.expect("ACK")
+        bye = self.hub1.expect("BYE")
+        self.assertEqual(bye.get("Call-ID"), invite.get("Call-ID"))
+        self.assertEqual(bye.get("To"), f"{invite.get('To')};tag=hub")
+        self.hub1.reply(bye, 200)
+        self.hub1.expect_silence()
+
+    def test_answer_of_a_stranger_is_dropped(self):
+        # Guards against a program that sends ACKs and BYEs wherever a stranger wants.
+        self.caller.send_invite()
+        invite = self.hub1.expect("INVITE")
+        self.restart()
+        stranger = self.endpoint(SipEndpoint).connect(self.address)
+        self.consul.remove_service("hub-1")
+        self.consul.remove_service("hub-2")
+        self.consul.wait_for_queries(self.consul.index)
+        stranger.reply(invite, 200, ANSWER)
+        stranger.expect_silence()
+        self.hub1.expect_silence()
+
     def test_bye_for_a_dialog_of_this_process_that_is_over_is_passed_on_to_nobody(self):
         # Guards against a second BYE after both sides have hung up.
         self.establish_call()
