Repeat the last BYEs over UDP, and end the process at once, before the earliest SIGKILL

Cause: the node waited for 1 s at most for answers to its BYEs, at the intervals of their timers; and the end of the interpreter came on top of the time limit.

Change: the node waits until 0.2 s before the earliest SIGKILL, and repeats unanswered BYEs and CANCELs every 0.1 s once the time for answers is over, as it does final responses. Calls get their answers 0.35 s before it. The process ends by os._exit: nothing is left to be cleaned up then. A hub that hangs through the whole shutdown may still lose BYEs over UDP (open).

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -196,4 +196,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    exit_code = main()
+    sys.stdout.flush()
+    # SIGKILL may be near, and the interpreter's own end takes its time. Nothing is left to be cleaned up.
+    os._exit(exit_code)
--- a/chutefork/shutdown.py
+++ b/chutefork/shutdown.py
@@ -13,8 +13,8 @@
 MAX_DEADLINE_S = 3.0
 MIN_KILL_AFTER_S = 0.7
 # Before the earliest SIGKILL: for the last answers to be sent again or read, and for the process to end.
-LAST_ANSWERS_BEFORE_KILL_S = 0.3
-EXIT_BEFORE_KILL_S = 0.15
+LAST_ANSWERS_BEFORE_KILL_S = 0.35
+EXIT_BEFORE_KILL_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
--- a/chutefork/sip/node.py
+++ b/chutefork/sip/node.py
@@ -20,8 +20,7 @@
 from .transactions import Timing
 from .transport import SipTransport
 
-PEERS_WAIT_S = 1.0  # at the end, for answers to the last requests, such as the BYEs of established calls
-REPEAT_INTERVAL_S = 0.1  # of the last final responses; T1 may be longer than the time that is left
+REPEAT_INTERVAL_S = 0.1  # of the last messages; T1 may be longer than the time that is left
 
 
 class SipNode:
@@ -82,31 +81,25 @@
             self.frontend.established[call].hang_up()
         self.membership.stop()
         self.transport.stop_accepting()
-        requests_until = min(self.clock.now_us() + round(PEERS_WAIT_S * 1e6), schedule.exit_by)
-        self.wait_for_peers(schedule, requests_until, on_stopped)
+        self.wait_for_peers(schedule, on_stopped)
 
-    def wait_for_peers(
-        self, schedule: ShutdownSchedule, requests_until: int, on_stopped: Callable[[], None]
-    ) -> None:
-        """Waits for the ACKs of final responses, and until `requests_until` for answers to requests.
+    def wait_for_peers(self, schedule: ShutdownSchedule, on_stopped: Callable[[], None]) -> None:
+        """Waits for the ACKs of final responses, and for answers to requests such as the last BYEs.
 
-        A datagram with the only copy of a final response may be lost: the responses are sent again until the
-        end, more often once the time for answers is over.
+        A datagram with the only copy of a message may be lost: the messages are sent again until the end,
+        more often once the time for answers is over.
         """
         now = self.clock.now_us()
         layer = self.agent.layer
-        unacknowledged = layer.unacknowledged_responses()
-        awaits_answers = now < requests_until and layer.has_unanswered_requests()
-        if now >= schedule.exit_by or not (unacknowledged or awaits_answers):
+        if now >= schedule.exit_by or not layer.awaits_peers():
             self.close(on_stopped)
             return
         interval_s = CHECK_INTERVAL_S
-        if unacknowledged and now >= schedule.answer_by:
+        if now >= schedule.answer_by:
             interval_s = REPEAT_INTERVAL_S
-            for server in unacknowledged:
-                server.send_last_response()
+            layer.repeat_last_messages()
         interval_s = min(interval_s, (schedule.exit_by - now) / 1e6)
-        self.clock.callLater(interval_s, self.wait_for_peers, schedule, requests_until, on_stopped)
+        self.clock.callLater(interval_s, self.wait_for_peers, schedule, on_stopped)
 
     def close(self, on_stopped: Callable[[], None]) -> None:
         for stream in list(self.transport.streams):
--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -362,7 +362,21 @@
         if len(self.completed) > MAX_COMPLETED_REQUESTS:
             next(iter(self.completed)).terminate()
 
-    def unacknowledged_responses(self) -> list[InviteServerTransaction]:
+    def awaits_peers(self) -> bool:
+        """Whether an ACK of a 3xx to 6xx response, or a final response to a request, may still come."""
+        return bool(self._unacknowledged_responses()) or any(
+            client.is_pending() for client in self.clients.values()
+        )
+
+    def repeat_last_messages(self) -> None:
+        """Sends again over UDP what `awaits_peers` is about, ahead of its timers; no INVITE."""
+        for server in self._unacknowledged_responses():
+            server.send_last_response()
+        for client in list(self.clients.values()):
+            if isinstance(client, NonInviteClientTransaction) and client.is_pending() and not client.reliable:
+                client.send_request()
+
+    def _unacknowledged_responses(self) -> list[InviteServerTransaction]:
         """The INVITE transactions over UDP whose 3xx to 6xx response has no ACK yet."""
         return [
             server
@@ -372,10 +386,6 @@
             and not server.reliable
         ]
 
-    def has_unanswered_requests(self) -> bool:
-        """Whether a request of this program has had no final response and may still get one."""
-        return any(client.is_pending() for client in self.clients.values())
-
     @staticmethod
     def server_key(request: sip.Request, method: str) -> tuple:
         """The key of a server transaction (RFC 3261 17.2.3).
