Send a release or BYE again if the caller's connection is reset under it

Cause: what is written to a connection was taken for delivered; a BYE's transaction heard nothing of the loss of its connection.

Change: a caller's connection remembers each release for 1 s, or until `stopped`; if it is reset in that time, they go out on another. Over SIP, requests other than INVITE that have no final response are sent again, once, on a new connection. A caller that has read the release and then resets may get it twice.

--- a/chutefork/net/caller_releases.py
+++ b/chutefork/net/caller_releases.py
@@ -14,11 +14,10 @@
     used: bool
     setups_received: int
     calls_carried: int
-    write_blocked: bool
     last_line_at: int
-    buffered_releases: dict[int, bytes]
 
     def send(self, data: bytes) -> bool: ...
+    def release_sent(self, call: int, data: bytes) -> None: ...
 
 
 class CallerReleases:
@@ -57,8 +56,7 @@
     def _send_on(connection: CallerConnection, call: int, data: bytes) -> bool:
         if not connection.send(data):
             return False
-        if connection.write_blocked:
-            connection.buffered_releases[call] = data
+        connection.release_sent(call, data)
         return True
 
     def setup_received(self, connection: CallerConnection) -> None:
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -26,6 +26,8 @@
 CAUSE_NO_CIRCUIT = 34  # FailureCause.UNAVAILABLE, or refused by a limit in this module
 CAUSE_FAILED = 41  # also for an established call that was cut
 CAUSE_ENDED = 16  # the call's normal end
+RELEASE_ARRIVES_WITHIN_US = 1_000_000  # a reset of the connection after that came after the release
+RESET_CODES = ("peer-reset", "io-error")
 IDLE_TIMEOUT_US = 5_000_000  # callers close an idle connection themselves after 4 s
 # Without a usable message by then the connection is closed: a peer must get an answer or a close within 3 s.
 UNUSED_TIMEOUT_US = 2_000_000
@@ -78,6 +80,8 @@
         self.counted_at = self.lines_counted = 0  # event-loop iteration, and the lines received in it
         # by call; queued while the peer does not read, sent elsewhere if the connection is lost
         self.buffered_releases: dict[int, bytes] = {}
+        # by call: when sent, data; sent again elsewhere if the connection is reset under them. Oldest first.
+        self.recent_releases: dict[int, tuple[int, bytes]] = {}
         self.last_line_at = 0
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -163,6 +167,7 @@
             return
         if kind == "stopped" and UID.match(uid):
             self.frontend.releases.acknowledged(int(uid, 16))
+            self.recent_releases.pop(int(uid, 16), None)
         if kind not in ("launch", "stop"):
             return  # progress and kinds of later versions need no action
         if not UID.match(uid):
@@ -174,6 +179,27 @@
         else:
             self.frontend.release_received(self, int(uid, 16))
 
+    def release_sent(self, call: int, data: bytes) -> None:
+        """Remembers the release of a call until it has surely arrived."""
+        now = self.clock.now_us()
+        if self.write_blocked:
+            self.buffered_releases[call] = data
+        self.recent_releases[call] = now, data
+        for sent, (sent_at, _) in list(self.recent_releases.items()):
+            if sent_at > now - RELEASE_ARRIVES_WITHIN_US:
+                break
+            del self.recent_releases[sent]
+
+    def undelivered_releases(self) -> dict[int, bytes]:
+        """By call: the releases that the connection, which has ended, may not have delivered."""
+        undelivered = dict(self.buffered_releases)
+        if self.end_code in RESET_CODES:
+            earliest = self.clock.now_us() - RELEASE_ARRIVES_WITHIN_US
+            undelivered.update(
+                (call, data) for call, (sent_at, data) in self.recent_releases.items() if sent_at > earliest
+            )
+        return undelivered
+
     def resumeProducing(self) -> None:  # noqa: N802
         super().resumeProducing()
         if not self.output_buffer:
@@ -463,8 +489,8 @@
         self.connections.pop(connection, None)
         for call in list(connection.unanswered):
             self.withdraw(call)
-        # The ends of calls must not be lost with a connection whose peer had stopped reading.
-        for call, data in connection.buffered_releases.items():
+        # The ends of calls must not be lost with a connection whose peer had stopped reading, or was reset.
+        for call, data in connection.undelivered_releases().items():
             self.releases.send(call, data, None)
 
     def discard_texts(self, call: int) -> None:
--- a/chutefork/sip/transactions.py
+++ b/chutefork/sip/transactions.py
@@ -11,7 +11,7 @@
 from twisted.logger import Logger
 
 from . import message as sip
-from .transport import SipTransport, Target
+from .transport import SipStream, SipTransport, Target
 
 if TYPE_CHECKING:
     from ..net.clock import CachedClockReactor
@@ -263,6 +263,16 @@
 class NonInviteClientTransaction(ClientTransaction):
     """RFC 3261 17.1.2: timers E, F and K."""
 
+    sent_again = False  # after the loss of its connection
+
+    def may_be_lost_with(self, stream: SipStream) -> bool:
+        """Whether the request may have been lost with this connection, and has not been sent again."""
+        if not self.is_pending() or self.sent_again:
+            return False
+        return self.target.stream is stream or (
+            stream.outbound_address == (self.target.host, self.target.port)
+        )
+
     def start(self) -> None:
         self.state = "trying"
         self.send_request()
@@ -316,10 +326,12 @@
         self.invite_count = 0  # server transactions
         self.invite_counts: dict[object, int] = {}  # by source: a connection, or a UDP address
         self.clients: dict[tuple, ClientTransaction] = {}
+        self.reliable_requests: dict[NonInviteClientTransaction, None] = {}  # of the clients, those over TCP
         self.on_request: Callable[[ServerTransaction], None] = lambda transaction: None
         self.on_ack: Callable[[sip.Request], None] = lambda request: None
         self.on_unmatched_answer: Callable[[sip.Response, Target], bool] = lambda response, source: False
         transport.on_message = self.receive
+        transport.on_stream_lost = self.stream_lost
 
     def mark_known(self, peer: Target) -> None:
         """Notes that a peer answers to what this program sends, or is one that it sends requests to."""
@@ -335,6 +347,8 @@
             self._remove_invite(transaction)
         elif isinstance(transaction, NonInviteServerTransaction):
             self.completed.pop(transaction, None)
+        elif isinstance(transaction, NonInviteClientTransaction):
+            self.reliable_requests.pop(transaction, None)
 
     def _add_invite(self, transaction: InviteServerTransaction) -> None:
         transaction.is_merged = self.invites.setdefault(transaction.merge_key, transaction) is not transaction
@@ -362,6 +376,13 @@
         if len(self.completed) > MAX_COMPLETED_REQUESTS:
             next(iter(self.completed)).terminate()
 
+    def stream_lost(self, stream: SipStream) -> None:
+        """Sends again, once, the requests other than INVITE that may have been lost with a connection."""
+        for client in list(self.reliable_requests):
+            if client.may_be_lost_with(stream):
+                client.sent_again = True
+                client.send_request()
+
     def awaits_peers(self) -> bool:
         """Whether an ACK of a 3xx to 6xx response, or a final response to a request, may still come."""
         return bool(self._unacknowledged_responses()) or any(
@@ -471,6 +492,8 @@
             InviteClientTransaction if request.method == "INVITE" else NonInviteClientTransaction
         )
         client = self.clients[key] = transaction_class(self, key, request, target, on_response, on_failure)
+        if client.reliable and isinstance(client, NonInviteClientTransaction):
+            self.reliable_requests[client] = None
         client.start()
         return client
 
--- a/chutefork/sip/transport.py
+++ b/chutefork/sip/transport.py
@@ -164,6 +164,7 @@
             and self.sip_transport.outbound.get(self.outbound_address) is self
         ):
             del self.sip_transport.outbound[self.outbound_address]
+        self.sip_transport.on_stream_lost(self)
 
 
 class _OutboundFactory(ClientFactory):
@@ -213,8 +214,9 @@
 class SipTransport:
     """The UDP and TCP ports, and all connections.
 
-    `on_message` is called with each valid message and its source; `dropped` counts the messages dropped since
-    the last log line about them. `sockets` is the number of file descriptors that may be used.
+    `on_message` is called with each valid message and its source, `on_stream_lost` with each connection that
+    has ended; `dropped` counts the messages dropped since the last log line about them.
+    `sockets` is the number of file descriptors that may be used.
     """
 
     def __init__(
@@ -230,6 +232,7 @@
         self.outbound: dict[tuple[str, int], SipStream] = {}
         self.queued: dict[tuple[str, int], list[tuple[bytes, Callable[[], None] | None]]] = {}
         self.on_message: Callable[[sip.Request | sip.Response, Target], None] = lambda message, source: None
+        self.on_stream_lost: Callable[[SipStream], None] = lambda stream: None
         self.scheduler = FairScheduler(clock)
         self.datagrams = DatagramPort(clock, self.scheduler, self.datagram_received, self.drop)
         self.dropped, self.drop_logged_at = 0, -DROP_LOG_INTERVAL_US
