--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -12,7 +12,7 @@
 import sys
 import time
 
-from .platform_harness import ROOT
+from .platform_harness import ROOT, WAIT_TIMEOUT_S
 
 STALLED_CONNECTIONS = 900  # more than the three quarters of 1,024 descriptors that clients may use
 WRITE_BYTES = 16 * 1024
@@ -185,6 +185,10 @@
         command = [sys.executable, "-m", "tests.hostile_clients", kind, *map(str, (*address, seconds, seed))]
         self.process = subprocess.Popen(command, cwd=ROOT)
 
+    def wait(self):
+        """Waits until the client has ended; it has started later than it was asked to."""
+        self.process.wait(WAIT_TIMEOUT_S)
+
     def close(self):
         self.process.kill()
         self.process.wait()
