Survive SIGHUP during the whole start, and use the configuration that it announces

What callers saw: nothing yet; found in the audit. A new configuration that came while the program started ended it (the signal's default, until the imports were done), or was not applied: between the reading of the file and the handler the signal was ignored, and the program polled the old address of the command channel for good.

Change: `run` ignores the signal until Python takes over; chutefork/early_signals.py, imported first, remembers it, and the program reads its file again once it runs.

--- a/Makefile
+++ b/Makefile
@@ -14,4 +14,4 @@
 	$(PYTHON) -m ruff format --check chutefork deploy tests
 
 run:
-	exec $(PYTHON) -m chutefork
+	trap '' HUP; exec $(PYTHON) -m chutefork
--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from .early_signals import early_hang_up  # isort: skip  (before the imports that take time)
+
 import gc
 import os
 import signal
@@ -148,7 +150,6 @@
 
 def main() -> int:
     """Runs until SIGTERM or SIGINT. Exit code 2: invalid configuration; 1: the start failed; 0: otherwise."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # by default it would end the program during start-up
     try:
         config, sip_config = load_configurations()
     except ConfigError as error:
@@ -189,6 +190,7 @@
 
     gc.freeze()
     clock.callWhenRunning(signal.signal, signal.SIGHUP, lambda *_: clock.callFromThread(reload))
+    clock.callWhenRunning(lambda: reload() if early_hang_up.received else None)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         clock.callWhenRunning(signal.signal, signal_number, lambda *_: clock.callFromThread(terminate))
     clock.run()
