Keep the ids of refused calls that may still run at a hub for 15 minutes

An exchange that was cut off for over 30 s while it set up a call, and told the end of the call afterwards, had its caller told by a second stop.

Cause: the ids of finished calls are forgotten after 30 s; the end of an unknown call goes to its caller.

Change: the ids of calls with an attempt that ended without proof that it does not run (timed out, cut, given up while open) are kept for 900 s, 20,000 at most. Ends of them, also repeated ones, are ignored; a late answer is released at its hub.

--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -27,6 +27,10 @@
 SAME_HUB_PAUSE_US = 100_000
 # How long the id of a finished call is kept, so that late answers and releases for it are recognized.
 FINISHED_CALL_RETENTION_US = 30 * US_PER_SECOND
+# The same for a call that may still run at a hub which its release has not reached: an outage may last.
+UNCERTAIN_CALL_RETENTION_US = 900 * US_PER_SECOND
+MAX_UNCERTAIN_CALLS = 20_000  # beyond it the oldest is forgotten
+UNCERTAIN_OUTCOMES = (api.Outcome.TIMEOUT, api.Outcome.CUT, api.Outcome.CANCELLED)
 
 
 @dataclass(slots=True)
@@ -42,6 +46,7 @@
     last_hub: str | None = None  # that the latest attempt was sent to
     last_hub_until: int = 0  # before this no set-up may be sent to `last_hub`
     deferred_setup: api.SetUp | None = None  # set-up to be sent at the end of these waits
+    may_run: bool = False  # an attempt has ended without proof that it does not run at its hub
     last_result: tuple[api.Outcome, api.Reason] | None = None  # of the latest attempt; None: none has ended
 
 
@@ -66,6 +71,8 @@
     calls: dict[int, Call] = field(default_factory=dict)  # call id -> call without a final answer
     established: dict[int, str] = field(default_factory=dict)  # call id -> name of the hub that it is up at
     finished_at: dict[int, int] = field(default_factory=dict)  # call id -> when it finished, oldest first
+    # Those of the finished calls that may still run at a hub: call id -> when it finished, oldest first.
+    uncertain_at: dict[int, int] = field(default_factory=dict)
     hubs: dict[str, HubEntry] = field(default_factory=dict)  # by hub name
     hub_by_switch: dict[int, str] = field(default_factory=dict)  # the controller's switch number -> hub name
     switch_by_hub: dict[str, int] = field(default_factory=dict)  # the inverse of `hub_by_switch`
@@ -92,17 +99,37 @@
     """
     effects: list[messages.Effect] = []
     _HANDLERS[type(event)](state, event, now, effects)
-    while state.finished_at:
-        call_id = next(iter(state.finished_at))
-        if state.finished_at[call_id] > now - FINISHED_CALL_RETENTION_US:
-            break
-        del state.finished_at[call_id]
+    _forget_until(state.finished_at, now - FINISHED_CALL_RETENTION_US)
+    _forget_until(state.uncertain_at, now - UNCERTAIN_CALL_RETENTION_US)
     if state.timers and state.timers[0][0] != state.wake_at:
         state.wake_at = state.timers[0][0]
         effects.append(messages.WakeAt(state.wake_at))
     return effects
 
 
+def _forget_until(finished_at: dict[int, int], until: int) -> None:
+    """Removes the calls that finished until then; the dict is ordered by time."""
+    while finished_at:
+        call_id = next(iter(finished_at))
+        if finished_at[call_id] > until:
+            break
+        del finished_at[call_id]
+
+
+def _finish(state: State, call_id: int, call: Call, now: int) -> None:
+    """Keeps the id of a call that has ended without being established."""
+    state.finished_at[call_id] = now
+    if call.may_run or call.pending_hub is not None:
+        state.uncertain_at[call_id] = now
+        if len(state.uncertain_at) > MAX_UNCERTAIN_CALLS:
+            del state.uncertain_at[next(iter(state.uncertain_at))]
+
+
+def _is_finished(state: State, call_id: int) -> bool:
+    """Whether the call is known to have ended here."""
+    return call_id in state.finished_at or call_id in state.uncertain_at
+
+
 def _add_timer(state: State, at: int, kind: str, key: int, attempt: int = 0) -> None:
     """Adds a timer that fires at the time `at`; see `State.timers` for the other parameters."""
     state.timer_sequence += 1
@@ -180,7 +207,7 @@
     call = state.calls.pop(call_id, None)
     if call is None:
         return
-    state.finished_at[call_id] = now
+    _finish(state, call_id, call, now)
     if call.pending_hub is not None:
         effects.append(messages.Release(call_id, call.pending_hub))
     outcome, reason = call.last_result or (api.Outcome.NOT_SENT, api.Reason.NONE)
@@ -226,7 +253,8 @@
         call.last_hub_until = now + SAME_HUB_PAUSE_US
     call.pending_hub = None
     call.last_result = outcome, reason
-    if outcome in (api.Outcome.TIMEOUT, api.Outcome.CUT, api.Outcome.CANCELLED):
+    if outcome in UNCERTAIN_OUTCOMES:
+        call.may_run = True
         call.release_wait_until = now + round(state.settings.release_s * US_PER_SECOND) + RELEASE_MARGIN_US
     retry_after_s = None if retry_after_us is None else retry_after_us / US_PER_SECOND
     _run_controller(
@@ -285,7 +313,7 @@
     """
     call = state.calls.pop(event.call, None)
     if call is not None:
-        state.finished_at[event.call] = now
+        _finish(state, event.call, call, now)
         if call.pending_hub is not None:
             effects.append(messages.Release(event.call, call.pending_hub))
         _run_controller(state, api.Withdrawn(event.call), now, effects)
@@ -378,7 +406,7 @@
     call = state.calls.get(event.call)
     if call is not None and call.pending_hub == event.hub or state.established.get(event.call) == event.hub:
         return  # a duplicate, or the call is being set up there again: a release would end it
-    if call is not None or event.call in state.finished_at or event.call in state.established:
+    if call is not None or _is_finished(state, event.call) or event.call in state.established:
         # The answer crossed the release of its attempt. Without another release the call would stay up at the
         # hub without a caller.
         effects.append(messages.Release(event.call, event.hub))
@@ -427,7 +455,7 @@
             now,
             effects,
         )
-    elif event.call not in state.finished_at and event.call not in state.established:
+    elif event.call not in state.established and not _is_finished(state, event.call):
         # A call established before this program restarted has ended: only its caller still knows the call.
         state.finished_at[event.call] = now
         effects.append(messages.CallEnded(event.call, event.outcome is not api.Outcome.OK))
