--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,116 @@
+"""A short run of the fault soak on each front; the long one is started by hand (docs/testing.md)."""
+
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from .platform_harness import ROOT
+from .soak.events import EventLog, read_events
+from .soak.platform_oracle import check_platform
+
+SEEDS = "1-3"
+JOBS = 3
+TIMEOUT_S = 240.0
+CALL = "00000000000000a1"
+
+
+class SoakTests(unittest.TestCase):
+    def play(self, front):
+        command = [
+            sys.executable,
+            "-m",
+            "tests.soak",
+            "--front",
+            front,
+            "--seeds",
+            SEEDS,
+            "--jobs",
+            str(JOBS),
+        ]
+        result = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S)
+        self.assertEqual(result.returncode, 0, result.stdout + result.stderr[-2000:])
+
+    def test_platform_front(self):
+        self.play("platform")
+
+    def test_sip_front(self):
+        self.play("sip")
+
+
+class OracleTests(unittest.TestCase):
+    """The oracle finds what it is there for, in records that are written by hand."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.log = EventLog(str(self.folder / "all.events"), "s-1")
+
+    def launch(self):
+        self.log.write("launch", call=CALL, left_s=0.0, port=1)
+
+    def violations(self):
+        """The violations in the record, seen long after its last event."""
+        events = read_events(self.folder)
+        end = {"time": events[-1]["time"] + 60.0, "source": "harness", "event": "end"}
+        return check_platform([*events, end])
+
+    def assert_found(self, text):
+        self.assertIn(text, "\n".join(self.violations()))
+
+    def test_sound_call(self):
+        self.launch()
+        self.log.write("set-up", call=CALL, second=False)
+        self.log.write("answered", call=CALL)
+        self.log.write("running", call=CALL, body=f"v=0 {CALL}")
+        self.log.write("hung-up", call=CALL)
+        self.log.write("released", call=CALL, state="standing")
+        self.assertEqual(self.violations(), [])
+
+    def test_set_up_without_an_answer(self):
+        self.launch()
+        self.assert_found("lost")
+
+    def test_second_answer_after_a_refusal(self):
+        self.launch()
+        for reason in (42, 16):
+            self.log.write("stop", call=CALL, reason=reason)
+        self.assert_found("second answer")
+
+    def test_call_left_standing(self):
+        self.launch()
+        self.log.write("set-up", call=CALL, second=False)
+        self.log.write("answered", call=CALL)
+        self.log.write("running", call=CALL, body=f"v=0 {CALL}")
+        self.log.write("hung-up", call=CALL)
+        self.assert_found("left standing")
+
+    def test_end_that_its_caller_is_never_told(self):
+        self.launch()
+        self.log.write("set-up", call=CALL, second=False)
+        self.log.write("answered", call=CALL)
+        self.log.write("running", call=CALL, body=f"v=0 {CALL}")
+        self.log.write("ended", call=CALL, sent=True)
+        self.assert_found("release")
+
+    def test_two_attempts_at_a_time(self):
+        self.launch()
+        self.log.write("set-up", call=CALL, second=False)
+        EventLog(str(self.folder / "other.events"), "s-2").write("set-up", call=CALL, second=False)
+        self.log.write("stop", call=CALL, reason=42)
+        self.assert_found("two attempts")
+
+    def test_set_up_after_a_drain(self):
+        self.log.write("publish", name="s-1", status="Terminating", cursor=1)
+        self.log.write("told", cursor=1)
+        events = read_events(self.folder)
+        late = {
+            "time": events[0]["time"] + 0.4,
+            "source": "s-1",
+            "event": "set-up",
+            "call": CALL,
+            "second": False,
+        }
+        self.assertIn("drain", "\n".join(check_platform([*events, late])))
