Send no release on a connection that its caller has closed

Cause: the close had arrived, but was not read yet. What is written then is lost; and the end of the connection looks orderly, so that the release is not repeated as after a reset.

Change: before a release is written, the system is asked whether the peer has closed; if so, another connection is taken.

Evidence: the new test (the program is stopped while release and close arrive) failed before and passes; with test_departed_callers and test_controller_restarts 13 passed.

--- a/chutefork/net/caller_releases.py
+++ b/chutefork/net/caller_releases.py
@@ -16,6 +16,7 @@
     calls_carried: int
     last_line_at: int
 
+    def peer_has_closed(self) -> bool: ...
     def send(self, data: bytes) -> bool: ...
     def release_sent(self, call: int, data: bytes) -> None: ...
 
@@ -54,7 +55,8 @@
 
     @staticmethod
     def _send_on(connection: CallerConnection, call: int, data: bytes) -> bool:
-        if not connection.send(data):
+        # What is written to a connection that the peer has closed is lost, and the end of it looks orderly.
+        if connection.peer_has_closed() or not connection.send(data):
             return False
         connection.release_sent(call, data)
         return True
--- a/tests/test_reset_under_release.py
+++ b/tests/test_reset_under_release.py
@@ -1,8 +1,10 @@
 """A caller's connection is reset under the message that tells it that its call is over."""
 
+import signal
 import socket
 import struct
 import threading
+import time
 
 from .platform_harness import WAIT_TIMEOUT_S, Caller, PlatformCase, listening_socket, wait_until
 from .sip_harness import CallerAgent, SipTestCase
@@ -59,6 +61,23 @@
         record = again.read()
         self.assertEqual((record["kind"], record["uid"], record["reason"]), ("stop", A, 16))
 
+    def test_release_is_not_sent_on_a_connection_that_its_caller_has_just_closed(self):
+        # Guards against the same when the close has arrived, but is read after the exchange's release.
+        caller, other = self.caller(), self.caller()
+        self.establish_call(caller)
+        other.launch("00000000000000b2", left=200)
+        self.assertEqual(self.exchange1.read()[1], "00000000000000b2")
+        self.exchange1.release("00000000000000b2", 34)
+        self.assertEqual(other.read()["kind"], "stop")
+        self.program.process.send_signal(signal.SIGSTOP)
+        self.exchange1.release(A, 16)
+        time.sleep(0.1)
+        caller.close()
+        time.sleep(0.1)
+        self.program.process.send_signal(signal.SIGCONT)
+        record = other.read()
+        self.assertEqual((record["kind"], record["uid"], record["reason"]), ("stop", A, 16))
+
 
 class SipTests(SipTestCase):
     transport = "TCP"
