Release a call that is answered after its caller has closed the connection

What callers saw: nothing; a call that its caller had given up by closing stood on at the exchange if the answer was read before the close.

Cause: the answer was written to the closed connection and the call taken for established.

Change: before an answer is written, the system is asked whether the caller has closed; if so, the call is released at the exchange.

Evidence: the new test (answer and close arrive while the program is stopped) failed before (no release) and passes.

--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -515,7 +515,7 @@
         if len(data) > MAX_MESSAGE_BYTES:
             log(f"long-answer uid={origin[1]} bytes={len(data)}")
             origin[0].send(encode_line("stop", origin[1], reason=CAUSE_FAILED))
-        elif origin[0].send(data):
+        elif not origin[0].peer_has_closed() and origin[0].send(data):
             self.established[effect.call] = origin
             origin[0].calls_carried += 1
             return
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -51,6 +51,17 @@
             departed.close()
         self.assertEqual(self.exchange1.read()[:2], (12, A))
 
+    def test_call_that_is_answered_after_its_caller_has_closed_is_released(self):
+        # Guards against a call that stands although its caller gave it up: answer and close wait together.
+        departed = self.caller()
+        departed.launch(A)
+        self.assertEqual(self.exchange1.read()[:2], (SETUP, A))
+        with Suspended(self.program):
+            self.exchange1.answer(A)
+            time.sleep(0.05)
+            departed.close()
+        self.assertEqual(self.exchange1.read()[:2], (12, A))
+
 
 class TcpTests(SipTestCase):
     transport = "TCP"
