Share what the soak's stand-ins have in common, and mend three faults of its own

Cause: tasks, timers and commands stood twice in the stand-ins.

Change: tests/soak/stand_in.py holds what is common; a node is replaced by one fault at a time; ports come from below the system's range; an exchange sends such a release on another connection.

--- a/tests/soak/caller_process.py
+++ b/tests/soak/caller_process.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-from .events import EventLog
+from .stand_in import CallerGroup
 
 CROSSING_S = 0.05  # a set-up that crosses a close by so much is sent again, once
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -224,35 +224,16 @@
         pass
 
 
-class CallerProcess:
+class CallerProcess(CallerGroup):
     """All callers of one process."""
 
     def __init__(self, config):
-        self.config = config
-        self.log = EventLog(config["log"], config["name"])
-        self.ports = []
+        super().__init__(config)
         self.standing = set()  # calls of all callers: a release may come on the connection of another one
-        self.stopping = False
-        self.tasks = set()  # a task that nothing refers to may be destroyed
-
-    def start(self, coroutine):
-        """Runs a coroutine beside the others."""
-        task = asyncio.ensure_future(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
 
     async def run(self):
-        commands = asyncio.StreamReader()
-        loop = asyncio.get_running_loop()
-        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(commands), sys.stdin)
-        callers = [Caller(self, number) for number in range(self.config["callers"])]
-        callers.append(NonsenseCaller(self, self.config["callers"]))
-        for caller in callers:
-            self.start(caller.run())
-        while line := await commands.readline():
-            command = json.loads(line)
-            self.ports = command.get("ports", self.ports)
-            self.stopping = self.stopping or command.get("stop", False)
+        count = self.config["callers"]
+        await super().run([*(Caller(self, number) for number in range(count)), NonsenseCaller(self, count)])
 
 
 if __name__ == "__main__":
--- a/tests/soak/exchange_process.py
+++ b/tests/soak/exchange_process.py
@@ -13,15 +13,15 @@
 import sys
 
 from .events import EventLog
+from .stand_in import StandInTasks, command_lines
 
 SET_UP, ANSWER, RELEASE, STATE, TEST, TEST_PASSED = 1, 9, 12, 43, 52, 53
 CAUSE, NOTE, STATE_TEXT, DESCRIPTION = 58, 37, 43, 61  # codes of parameters
 CAUSE_ENDED, CAUSE_ERROR, CAUSE_FULL = 16, 17, 34
 GROUP_CIRCUITS = 500
 COPY_AFTER_S = 0.01
-STALL_S = 0.1  # a timer that is later by so much shows that the process was stopped
 MAX_SPEAK_DELAY_S = 0.05  # after a silence, until a connection is read again
-LOST_WITH_CONNECTION_S = 0.3  # a release sent so shortly before the end of its connection is sent again
+ENDED_IN_QUEUE_S = 0.3  # a connection that ends so soon had ended before it was accepted, as after a hang
 LONG_CALL_S = 60.0  # outlasts the run: ended by its caller only
 
 
@@ -37,7 +37,8 @@
     def __init__(self, exchange):
         self.exchange = exchange
         self.buffer = b""
-        self.sent_releases = []  # of calls that have ended: when sent, frame
+        self.opened_at = asyncio.get_running_loop().time()
+        self.sent_releases = []  # frames with ends of calls
 
     def connection_made(self, transport):
         self.transport = transport
@@ -68,16 +69,16 @@
             self.transport.resume_reading()
 
 
-class Exchange:
+class Exchange(StandInTasks):
     """The calls of one exchange."""
 
     def __init__(self, config):
+        super().__init__()
         self.config = config
         self.log = EventLog(config["log"], config["name"])
         self.connections = []  # open ones, oldest first
         self.out = {}  # attempts without an end: call -> connection
         self.standing = {}  # call -> connection of its set-up
-        self.silent = False
         self.last_releases = []  # frames that are repeated on the next connection
 
     async def run(self):
@@ -85,11 +86,9 @@
         server = await loop.create_server(
             lambda: ExchangeConnection(self), "127.0.0.1", self.config["port"], reuse_address=True
         )
-        commands = asyncio.StreamReader()
-        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(commands), sys.stdin)
         async with server:
-            while line := await commands.readline():
-                self.command(line.decode().strip())
+            async for line in command_lines():
+                self.command(line)
 
     def command(self, name):
         if name == "silent":
@@ -120,10 +119,9 @@
 
     def disconnected(self, connection):
         self.connections.remove(connection)
-        now = asyncio.get_running_loop().time()
-        self.last_releases += [
-            frame for sent_at, frame in connection.sent_releases if now - sent_at < LOST_WITH_CONNECTION_S
-        ]
+        if asyncio.get_running_loop().time() - connection.opened_at < ENDED_IN_QUEUE_S:
+            for frame in connection.sent_releases:
+                self.repeat_release(frame)
         for call in [call for call, other in self.out.items() if other is connection]:
             del self.out[call]
             self.log.write("attempt-over", call=call, why="closed")
@@ -155,20 +153,6 @@
             self.later(delay_s, self.refuse, connection, call, CAUSE_ERROR, choice)
         # else: never answered
 
-    def later(self, delay_s, action, *arguments):
-        """Has `action` called after the delay; after a stop or a silence not before the input is read."""
-
-        loop = asyncio.get_running_loop()
-        due = loop.time() + delay_s
-
-        def run():
-            if loop.time() > due + STALL_S or self.silent:
-                self.later(STALL_S, action, *arguments)
-            else:
-                action(*arguments)
-
-        loop.call_later(delay_s, run)
-
     def answer(self, connection, call, choice):
         if self.out.get(call) is not connection:
             return
@@ -208,10 +192,18 @@
             self.send_release(connection, frame)
         self.last_releases.append(frame)
 
+    def repeat_release(self, frame):
+        """Sends the end of a call that went to a connection which had ended before it was accepted."""
+        usable = [other for other in self.connections if not other.transport.is_closing()]
+        if usable:
+            self.send_release(usable[-1], frame)
+        else:
+            self.last_releases.append(frame)
+
     @staticmethod
     def send_release(connection, frame):
         """Sends the end of a call."""
-        connection.sent_releases.append((asyncio.get_running_loop().time(), frame))
+        connection.sent_releases.append(frame)
         connection.send(frame)
 
 
--- a/tests/soak/fault_run.py
+++ b/tests/soak/fault_run.py
@@ -6,8 +6,9 @@
 import time
 
 from .events import EventLog, read_events
-from .processes import Faults
+from .processes import Faults, StandIn
 
+CALLER_PROCESSES = 2
 FAULTS_S = 8.0  # how long faults begin
 MAX_DEADLINE_S = 3.0  # the most that counts of the longest deadline at a planned restart
 KILL_AFTER_DEADLINE_S = 0.7
@@ -36,9 +37,25 @@
     def events_path(self, name):
         return str(self.folder / f"{name}.events")
 
+    caller_module = ""  # of the callers' processes
+
+    def caller_config(self):
+        """What the callers' processes are configured with, besides what they all need."""
+        raise NotImplementedError
+
     def start_callers(self):
         """Starts the processes of the callers."""
-        raise NotImplementedError
+        for number in range(CALLER_PROCESSES):
+            config = {
+                "name": f"callers-{number}",
+                "id": number,
+                "log": self.events_path(f"callers-{number}"),
+                "seed": self.seed,
+                "deadline_s": self.deadline_s,
+                **self.caller_config(),
+            }
+            self.callers.append(StandIn(self.caller_module, config))
+        self.tell_ports()
 
     def schedule_faults(self):
         """Chooses the faults of this seed and when they begin; they overlap."""
@@ -110,9 +127,16 @@
             time.sleep(shutdown_s + 0.3)
 
     def restart_node(self, node):
-        """SIGTERM, new connections for 0.3 s more, SIGKILL at the earliest time; a new process at once."""
-        if not node.accepting:
-            return
+        """Replaces the process of a node, unless it is being replaced already."""
+        if node.replacing.acquire(blocking=False):
+            try:
+                self.terminate_node(node)
+                self.bring_back(node)
+            finally:
+                node.replacing.release()
+
+    def terminate_node(self, node):
+        """SIGTERM, new connections for 0.3 s more, and SIGKILL at the earliest time."""
         kill_at = time.monotonic() + min(self.deadline_s, MAX_DEADLINE_S) + KILL_AFTER_DEADLINE_S
         node.signal(signal.SIGTERM)
         time.sleep(0.3)
@@ -124,15 +148,18 @@
             node.close()
         elif code != 0:
             self.log.write("exit-code", port=node.port, code=code)
-        self.bring_back(node)
 
     def kill_node(self):
+        """SIGKILL to a node, unless it is being replaced already."""
         node = self.random.choice(self.nodes)
-        if node.accepting:
-            node.accepting = False
-            self.log.write("node-killed", port=node.port)
-            node.close()
-            self.bring_back(node)
+        if node.replacing.acquire(blocking=False):
+            try:
+                node.accepting = False
+                self.log.write("node-killed", port=node.port)
+                node.close()
+                self.bring_back(node)
+            finally:
+                node.replacing.release()
 
     def bring_back(self, node):
         node.start()
--- a/tests/soak/platform_run.py
+++ b/tests/soak/platform_run.py
@@ -61,6 +61,7 @@
     """A run on the platform's front."""
 
     front = "platform"
+    caller_module = "caller_process"
 
     def __init__(self, seed, folder):
         super().__init__(seed, folder)
@@ -104,22 +105,14 @@
             "limits": {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": SOCKET_LIMIT},
         }
 
-    def start_callers(self):
-        for number in range(2):
-            config = {
-                "name": f"callers-{number}",
-                "id": number,
-                "log": self.events_path(f"callers-{number}"),
-                "seed": self.seed,
-                "callers": 12 if self.is_crowded else 4,
-                "gap_s": 0.03 if self.is_crowded else 0.12,
-                "deadline_s": self.deadline_s,
-                "class": "rate-quote",
-                "tenant": SETTINGS["accounts"][0]["name"],
-                "destinations": [exchange.number for exchange in self.exchanges],
-            }
-            self.callers.append(StandIn("caller_process", config))
-        self.tell_ports()
+    def caller_config(self):
+        return {
+            "callers": 12 if self.is_crowded else 4,
+            "gap_s": 0.03 if self.is_crowded else 0.12,
+            "class": "rate-quote",
+            "tenant": SETTINGS["accounts"][0]["name"],
+            "destinations": [exchange.number for exchange in self.exchanges],
+        }
 
     # ---- faults
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -12,14 +13,19 @@
 
 from ..platform_harness import ROOT
 
+PORTS = 15_000, 30_000  # below those that the system gives to outgoing connections
 START_TIMEOUT_S = 20.0
 
 
 def free_port():
-    """A port of loopback that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port of loopback that is free now, for UDP too, and that no outgoing connection takes meanwhile."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            with contextlib.suppress(OSError):
+                for sock in (tcp, udp):
+                    sock.bind(("127.0.0.1", port))
+                return port
 
 
 class StandIn:
@@ -64,6 +70,7 @@
         self.environment = environment
         self.serving_line = serving_line
         self.process = None
+        self.replacing = threading.Lock()  # held while the process is being replaced
 
     def start(self):
         """Starts the program and waits until it serves."""
--- a/tests/soak/proxy_process.py
+++ b/tests/soak/proxy_process.py
@@ -11,6 +11,8 @@
 import struct
 import sys
 
+from .stand_in import command_lines
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0
 
 
@@ -25,12 +27,9 @@
 
     async def run(self):
         server = await asyncio.start_server(self.serve, "127.0.0.1", self.config["port"], reuse_address=True)
-        commands = asyncio.StreamReader()
-        loop = asyncio.get_running_loop()
-        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(commands), sys.stdin)
         async with server:
-            while line := await commands.readline():
-                self.command(line.decode().strip())
+            async for line in command_lines():
+                self.command(line)
 
     def command(self, name):
         if name == "cut":
--- a/tests/soak/sip_caller_process.py
+++ b/tests/soak/sip_caller_process.py
@@ -10,8 +10,8 @@
 import sys
 
 from ..sip_harness import SDP, contact_uri
-from .events import EventLog
 from .sip_endpoint import Endpoint, port_of
+from .stand_in import CallerGroup
 
 T1_S, T2_S = 0.2, 1.0
 TIMEOUT_S = 8.0
@@ -230,32 +230,11 @@
         call.invite()
 
 
-class CallerProcess:
+class CallerProcess(CallerGroup):
     """All callers of one process."""
 
-    def __init__(self, config):
-        self.config = config
-        self.log = EventLog(config["log"], config["name"])
-        self.ports = []
-        self.stopping = False
-        self.tasks = set()  # a task that nothing refers to may be destroyed
-
-    def start(self, coroutine):
-        """Runs a coroutine beside the others."""
-        task = asyncio.ensure_future(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     async def run(self):
-        commands = asyncio.StreamReader()
-        loop = asyncio.get_running_loop()
-        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(commands), sys.stdin)
-        for number in range(self.config["callers"]):
-            self.start(SipCaller(self, number).run())
-        while line := await commands.readline():
-            command = json.loads(line)
-            self.ports = command.get("ports", self.ports)
-            self.stopping = self.stopping or command.get("stop", False)
+        await super().run([SipCaller(self, number) for number in range(self.config["callers"])])
 
 
 if __name__ == "__main__":
--- a/tests/soak/sip_endpoint.py
+++ b/tests/soak/sip_endpoint.py
@@ -4,8 +4,8 @@
 import re
 
 from ..sip_harness import SipMessage
+from .stand_in import StandInTasks
 
-STALL_S = 0.1  # a timer that is later by so much shows that the process was stopped
 CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
 
 
@@ -49,34 +49,14 @@
             self.endpoint.message_received(SipMessage(data), address)
 
 
-class Endpoint:
+class Endpoint(StandInTasks):
     """Base of hubs and callers. A peer is an address (UDP) or a Stream (TCP)."""
 
     def __init__(self, transport_name, port):
+        super().__init__()
         self.transport_name = transport_name
         self.port = port
-        self.silent = False  # reads and sends nothing
         self.unread = []  # messages and their peers
-        self.tasks = set()  # a task that nothing refers to may be destroyed
-
-    def start(self, coroutine):
-        """Runs a coroutine beside the others."""
-        task = asyncio.ensure_future(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    def later(self, delay_s, action, *arguments):
-        """Has `action` called after the delay; after a stop of the process not before its input is read."""
-        loop = asyncio.get_running_loop()
-        due = loop.time() + delay_s
-
-        def run():
-            if loop.time() > due + STALL_S or self.silent:
-                self.later(STALL_S, action, *arguments)
-            else:
-                action(*arguments)
-
-        loop.call_later(delay_s, run)
 
     def message_received(self, message, peer):
         """Passes on a message, after a silence those that came during it."""
--- a/tests/soak/sip_hub_process.py
+++ b/tests/soak/sip_hub_process.py
@@ -14,6 +14,7 @@
 from ..sip_harness import ANSWER, contact_uri
 from .events import EventLog
 from .sip_endpoint import Endpoint, port_of
+from .stand_in import command_lines
 
 T1_S, T2_S = 0.1, 1.0
 LONG_CALL_S = 60.0  # outlasts the run: ended by its caller only
@@ -134,11 +135,8 @@
     async def run(self):
         await self.open()
         self.log.write("serving")
-        commands = asyncio.StreamReader()
-        loop = asyncio.get_running_loop()
-        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(commands), sys.stdin)
-        while line := await commands.readline():
-            if line.strip() == b"silent":
+        async for line in command_lines():
+            if line == "silent":
                 self.silent = True
             else:
                 self.speak()
--- a/tests/soak/sip_run.py
+++ b/tests/soak/sip_run.py
@@ -44,6 +44,7 @@
     """A run on the SIP front, over UDP or TCP."""
 
     front = "sip"
+    caller_module = "sip_caller_process"
 
     def __init__(self, seed, folder):
         super().__init__(seed, folder)
@@ -91,20 +92,12 @@
         node.port, node.accepting = port, False
         return node
 
-    def start_callers(self):
-        for number in range(2):
-            config = {
-                "name": f"callers-{number}",
-                "id": number,
-                "log": self.events_path(f"callers-{number}"),
-                "seed": self.seed,
-                "transport": self.transport,
-                "callers": 10 if self.is_crowded else 4,
-                "gap_s": 0.08 if self.is_crowded else 0.15,
-                "deadline_s": self.deadline_s,
-            }
-            self.callers.append(StandIn("sip_caller_process", config))
-        self.tell_ports()
+    def caller_config(self):
+        return {
+            "transport": self.transport,
+            "callers": 10 if self.is_crowded else 4,
+            "gap_s": 0.08 if self.is_crowded else 0.15,
+        }
 
     # ---- faults
 
