--- a/tests/soak/exchange_process.py
+++ b/tests/soak/exchange_process.py
@@ -114,6 +114,8 @@
 
     def greet(self, connection):
         """Tells the state of the group, and the ends of calls that wait for the next connection."""
+        if connection not in self.connections or connection.transport.is_closing():
+            return
         text = f"idle:{GROUP_CIRCUITS - len(self.standing)};circuits:{GROUP_CIRCUITS}"
         connection.send(encode(STATE, "0", (STATE_TEXT, text.encode())))
         releases, self.last_releases = self.last_releases, []
