--- a/tests/soak/caller_process.py
+++ b/tests/soak/caller_process.py
@@ -129,8 +129,8 @@
 
     async def give_up(self, uid):
         if self.waiting.pop(uid, None) is not None:
-            self.log.write("given-up", call=uid)
-            await self.write(self.record("stop", uid, reason=16))
+            written = await self.write(self.record("stop", uid, reason=16))
+            self.log.write("given-up", call=uid, reset=not written)
 
     async def hang_up(self, uid):
         """Ends a call that stands, on a connection to any process."""
