Give each UDP hub a socket of its own, so that no flood displaces its responses

Callers saw 504 for a call that its hub had answered with 486.

Cause: the sixteen SO_REUSEPORT sockets of the port are shared by all senders, so one hub in sixteen has its datagrams in the receive buffer that a flooding caller fills. While the program does not read for longer than the buffer lasts, such as in a full garbage collection, the hub's response is dropped; if it is not sent again within trying_ms, the next hub is tried and then the call is refused.

Change: a connected socket on the same port for each hub listed over UDP; the kernel prefers it for what comes from the hub's address.

--- a/chutefork/sip/backend.py
+++ b/chutefork/sip/backend.py
@@ -65,9 +65,8 @@
         call_request = sip_call.call_request
         self.via_tandem = hub.number != call_request.destination
         self.delayed_offer = not call_request.body  # the SDP offer comes in the hub's 200
-        transport = hub.address.partition(";")[2]
         host, port = host_and_port(hub)
-        target = Target((transport or "udp").upper(), host, port)
+        target = Target(transport_of(hub), host, port)
         own_address = self.agent.address
         uri_parameters = ";transport=tcp" if target.transport == "TCP" else ""
         uri = sip.URI("sip", host, call_request.number, None, port)
@@ -226,6 +225,11 @@
     return host, int(port)
 
 
+def transport_of(hub: messages.Hub) -> str:
+    """The transport that requests to a hub are sent over: UDP or TCP."""
+    return (hub.address.partition(";")[2] or "udp").upper()
+
+
 class SipBackend:
     """All attempts, and the hubs that calls may be sent to."""
 
@@ -299,3 +303,6 @@
             del self.hubs[name]
             for leg in legs:  # a late response from there must find no active attempt
                 leg.abandon()
+        self.agent.transport.datagrams.connect_sockets(
+            {host_and_port(hub) for hub, _ in self.hubs.values() if transport_of(hub) == "UDP"}
+        )
--- a/chutefork/sip/datagrams.py
+++ b/chutefork/sip/datagrams.py
@@ -1,18 +1,26 @@
-"""SIP's UDP port: several sockets, and a bounded queue of datagrams for each address that sends some."""
+"""SIP's UDP port: several sockets, and a bounded queue of datagrams for each address that sends some.
+
+Each hub has a connected socket on the same port, to which the kernel gives what the hub sends: a caller that
+fills the receive buffer of another socket cannot displace a hub's responses.
+"""
 
 from __future__ import annotations
 
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from typing import TYPE_CHECKING
 
+from twisted.internet.abstract import isIPAddress
 from twisted.internet.protocol import DatagramProtocol
 
+from ..net.connection import log
 from .greylist import Greylist
 from .scheduler import FairScheduler
 
 if TYPE_CHECKING:
+    from twisted.internet import udp
+
     from ..net.clock import CachedClockReactor
 
 Address = tuple[str, int]
@@ -21,6 +29,7 @@
 # only the senders on the same socket lose datagrams.
 MAX_SOCKETS = 16
 DESCRIPTORS_PER_SOCKET = 64  # of those that SIP may use
+DESCRIPTORS_PER_CONNECTED_SOCKET = 16  # of those that SIP may use
 MAX_DATAGRAM_BYTES = 65536
 READ_BYTES_PER_ITERATION = 512 * 1024  # from one socket
 RECEIVE_BUFFER_BYTES = 512 * 1024  # of one socket; the system may allow less
@@ -86,20 +95,47 @@
         self.known: dict[Address, None] = {}  # the longest unused first
         self.strangers_waiting = 0  # datagrams
         self.greylist = Greylist()
+        self.connected: dict[Address, udp.Port] = {}  # by the address of the hub
 
     def listen(self, host: str, port: int, descriptors: int) -> None:
         """Opens the sockets; raises OSError if the port is in use."""
+        self.address = host, port
+        self.max_connected = max(descriptors // DESCRIPTORS_PER_CONNECTED_SOCKET, 1)
         count = min(max(descriptors // DESCRIPTORS_PER_SOCKET, 1), MAX_SOCKETS)
         sockets = []
         try:
             for _ in range(count):
-                sockets.append(_bound_socket(host, port))
+                sockets.append(_bound_socket(self.address))
             self.transports = [self._adopt(sock) for sock in sockets]
         finally:
             for sock in sockets:
                 sock.close()  # the reactor has a duplicate
 
-    def _adopt(self, sock: socket.socket) -> object:
+    def connect_sockets(self, hubs: Set[Address]) -> None:
+        """Has one connected socket for each of these hubs, and for no others.
+
+        Hubs beyond the limit, and those that none can be opened for, share the other sockets with callers.
+        """
+        for address in self.connected.keys() - hubs:
+            self.clock.callLater(0, self._close_connected, self.connected.pop(address))
+        for address in hubs - self.connected.keys():
+            if len(self.connected) < self.max_connected and isIPAddress(address[0]):
+                self._open_connected(address)
+
+    def _open_connected(self, hub: Address) -> None:
+        try:
+            with _bound_socket(self.address) as sock:
+                sock.connect(hub)
+                self.connected[hub] = self._adopt(sock)
+        except (OSError, OverflowError) as exc:  # OverflowError: the port is out of range
+            log(f"note hub {hub[0]}:{hub[1]}: no socket of its own: {exc}")
+
+    def _close_connected(self, transport: udp.Port) -> None:
+        """Closes a socket once what it has received is read."""
+        transport.doRead()
+        transport.stopListening()
+
+    def _adopt(self, sock: socket.socket) -> udp.Port:
         transport = self.clock.adoptDatagramPort(
             sock.fileno(), socket.AF_INET, _DatagramSocket(self), MAX_DATAGRAM_BYTES
         )
@@ -151,13 +187,13 @@
         self.on_datagram(datagram, address)
 
 
-def _bound_socket(host: str, port: int) -> socket.socket:
+def _bound_socket(address: Address) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        sock.bind((host, port))
+        sock.bind(address)
     except OSError:
         sock.close()
         raise
