Record in the soak when a line reached its caller, not when the caller read it

What they read was recorded with the time of reading.

Change: a reader that notes when each line arrived; running and stop are recorded with that time.

--- a/tests/soak/caller_process.py
+++ b/tests/soak/caller_process.py
@@ -15,6 +15,7 @@
 import time
 
 from .stand_in import CallerGroup
+from .timed_reader import open_timed_connection
 
 CROSSING_S = 0.05  # a set-up that crosses a close by so much is sent again, once
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -64,7 +65,7 @@
             return False
         port = self.random.choice(self.process.ports)
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await open_timed_connection("127.0.0.1", port)
         except OSError:
             return False
         self.connection = reader, writer, port
@@ -159,22 +160,25 @@
 
     async def read(self, reader, writer, port):
         with contextlib.suppress(OSError, ValueError):
-            while line := await reader.readline():
+            while True:
+                line, arrived_at = await reader.read_timed_line()
+                if not line:
+                    break
                 if not line.endswith(b"\n"):
                     self.log.write("partial", data=line.decode("utf-8", "replace"))
                     break
                 if self.is_slow and not self.waiting:
                     await asyncio.sleep(0.02)
-                await self.received(json.loads(line))
+                await self.received(json.loads(line), arrived_at)
         if self.connection is not None and self.connection[1] is writer:
             self.connection = None
             await self.closed(port)
         writer.close()
 
-    async def received(self, record):
+    async def received(self, record, arrived_at):
         uid, kind = record["uid"], record["kind"]
         if kind == "running":
-            self.log.write("running", call=uid, body=record.get("body", ""))
+            self.log.write("running", at=arrived_at, call=uid, body=record.get("body", ""))
             if self.waiting.pop(uid, None) is not None:
                 self.standing.add(uid)
                 loop = asyncio.get_running_loop()
@@ -183,7 +187,7 @@
                         self.random.uniform(0.05, 2.0), lambda: self.process.start(self.hang_up(uid))
                     )
         elif kind == "stop":
-            self.log.write("stop", call=uid, reason=record.get("reason"))
+            self.log.write("stop", at=arrived_at, call=uid, reason=record.get("reason"))
             self.waiting.pop(uid, None)
             self.standing.discard(uid)
 
@@ -217,7 +221,7 @@
         if self.random.random() < 0.5:
             self.reset()
 
-    async def received(self, record):
+    async def received(self, record, arrived_at):
         pass
 
     async def hang_up(self, uid):
--- a/tests/soak/events.py
+++ b/tests/soak/events.py
@@ -16,8 +16,10 @@
         self.descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
         self.source = source
 
-    def write(self, event, **fields):
-        record = {"time": time.monotonic(), "source": self.source, "event": event, **fields}
+    def write(self, event, at=None, **fields):
+        """Appends an event of now, or of the time `at`."""
+        written_at = time.monotonic() if at is None else at
+        record = {"time": written_at, "source": self.source, "event": event, **fields}
         os.write(self.descriptor, json.dumps(record).encode() + b"\n")
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,14 +1,17 @@
 """A short run of the fault soak on each front; the long one is started by hand (docs/testing.md)."""
 
+import asyncio
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
 from .platform_harness import ROOT
 from .soak.events import EventLog, read_events
 from .soak.platform_oracle import check_platform
+from .soak.timed_reader import TimedReader
 
 SEEDS = "1-3"
 JOBS = 3
@@ -39,6 +42,22 @@
         self.play("sip")
 
 
+class TimedReaderTests(unittest.IsolatedAsyncioTestCase):
+    async def test_line_that_is_read_late_has_the_time_of_its_arrival(self):
+        # Guards against violations that are the caller's own delay.
+        reader = TimedReader()
+        reader.feed_data(b"one\ntwo\nth")
+        first_arrival = time.monotonic()
+        await asyncio.sleep(0.2)
+        reader.feed_data(b"ree\n")
+        reader.feed_eof()
+        lines = [await reader.read_timed_line() for _ in range(4)]
+        self.assertEqual([line for line, _ in lines], [b"one\n", b"two\n", b"three\n", b""])
+        for _, arrived_at in lines[:2]:
+            self.assertLessEqual(arrived_at, first_arrival)
+        self.assertGreaterEqual(lines[2][1], first_arrival + 0.2)
+
+
 class OracleTests(unittest.TestCase):
     """The oracle finds what it is there for, in records that are written by hand."""
 
