Print a violation of the soak with the events of its call and all faults

The command now prints, below each violation, what was recorded of its call and the faults of the run.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,22 +1,40 @@
 """Plays runs of the soak: `python -m tests.soak --front platform --seeds 1-50 [--jobs 3] [--keep FOLDER]`.
 
-Each seed is one run. Exit code 0: no violation; 1: violations, which are printed with their seed.
+Each seed is one run. Exit code 0: no violation; 1: violations, which are printed with their seed, the events
+of their calls and all faults.
 """
 
 import argparse
+import json
+import re
 import sys
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
+from .events import read_events
 from .platform_run import PlatformRun
 from .sip_run import SipRun
 
 RUNS = {"platform": PlatformRun, "sip": SipRun}
+PRINTED_VIOLATIONS = 20
+WORDS = re.compile(r"[^\s,:]+")
+
+
+def evidence(violation, events):
+    """The events of the call that a violation names, and all faults, as lines of text."""
+    words = set(WORDS.findall(violation))
+    if not any(event.get("call") in words for event in events):
+        return []
+    return [
+        json.dumps(event)
+        for event in events
+        if event.get("call") in words or ("call" not in event and event["event"] != "told")
+    ]
 
 
 def play(front, seed, keep):
-    """Plays one seed; returns the seed, the violations and how many calls there were."""
+    """Plays one seed; returns the seed, the violations with their evidence, and how many calls there were."""
     with tempfile.TemporaryDirectory() as temporary:
         folder = Path(keep) / f"{front}-{seed}" if keep else Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
@@ -24,8 +42,10 @@
             violations = RUNS[front](seed, folder).play()
         except Exception as error:
             violations = [f"harness: {type(error).__name__}: {error}"]
-        calls = sum(path.read_text().count('"event": "launch"') for path in folder.glob("callers*.events"))
-    return seed, violations, calls
+        events = read_events(folder)
+        calls = sum(event["event"] == "launch" for event in events)
+        found = [(violation, evidence(violation, events)) for violation in violations[:PRINTED_VIOLATIONS]]
+    return seed, found, calls
 
 
 def main():
@@ -46,8 +66,8 @@
             total_calls += calls
             broken += bool(violations)
             print(f"{arguments.front} seed {seed}: {calls} calls, {len(violations)} violations", flush=True)
-            for violation in violations[:20]:
-                print(f"  {violation}", flush=True)
+            for violation, lines in violations:
+                print(f"  {violation}", *(f"    {line}" for line in lines), sep="\n", flush=True)
     print(f"{len(seeds)} runs, {total_calls} calls, {broken} runs with violations")
     return 1 if broken else 0
 
