Leave the exchanges in a shutdown once no caller is connected

Cause: after SIGTERM the program stays while calls stand, to tell their callers of the end. An exchange sends an end on the connection of the set-up, or any open one, and on the next one that is opened. Without callers the program took such an end and could pass it on to nobody; it was gone at its exit.

Change: once no caller is connected and the port is closed, nothing is left to be told. The program leaves each exchange to which no release is on its way, opens no connection any more, and exits when none is left. An exchange that has sent nothing since a release was written to it keeps its link until the time for answers is over, so that the release can be repeated on the next connection.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -103,10 +103,16 @@
         self.clock.callLater(ACCEPT_S, self.close_when_idle, schedule, on_stopped)
 
     def close_when_idle(self, schedule: ShutdownSchedule, on_stopped: Callable[[], None]) -> None:
-        """Stops listening; once no call is open, or the time for answers is over, closes all connections."""
+        """Stops listening; once no call is open, or the time for answers is over, closes all connections.
+
+        Without callers nobody can be told of the end of a call, and only releases are still sent.
+        """
         self.listening_port.stopListening()
-        open_calls = len(self.frontend.unanswered) + len(self.frontend.established)
-        if open_calls and self.clock.now_us() < schedule.answer_by:
+        has_work = bool(self.frontend.unanswered or self.frontend.established)
+        if has_work and not self.frontend.connections:
+            self.channel.shut_down()  # no exchange is to be connected any more
+            has_work = not self.backend.leave_served_exchanges()
+        if has_work and self.clock.now_us() < schedule.answer_by:
             self.clock.callLater(CHECK_INTERVAL_S, self.close_when_idle, schedule, on_stopped)
             return
         log(f"left unanswered={len(self.frontend.unanswered)} standing={len(self.frontend.established)}")
--- a/chutefork/net/exchange_link.py
+++ b/chutefork/net/exchange_link.py
@@ -179,6 +179,19 @@
             self.queued_releases.clear()  # a process that is not there holds no calls
             self.backend.driver.post(messages.HubDown(self.hub.name))
 
+    def has_unsent_releases(self) -> bool:
+        """Whether a release is still to be sent, or may not have arrived: no frame has come since."""
+        if self.connection is None:
+            return bool(self.queued_releases)
+        return self.connection.has_unsent_releases()
+
+    def leave(self) -> None:
+        """Ends the connection, or the attempt to open one, for good."""
+        self.keep_connection = False
+        self.disconnect("leaving")
+        if self.connector is not None:
+            self.connector.stopConnecting()
+
     def has_established_calls(self) -> bool:
         return self.backend.has_established_calls(self.hub.name)
 
--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -86,11 +86,21 @@
         del self.links[effect.hub.name]
         link.disconnect("let-go")
 
+    def leave_served_exchanges(self) -> bool:
+        """Leaves each exchange that no release is on its way to; returns whether none is left.
+
+        For a shutdown without callers: the exchanges then tell another process of the ends of their calls.
+        """
+        for name, link in list(self.links.items()):
+            if not link.has_unsent_releases():
+                link.leave()
+                del self.links[name]
+        return not self.links
+
     def shut_down(self) -> None:
         """Closes the connections to all exchanges for good."""
         for link in self.links.values():
-            link.keep_connection = False
-            link.disconnect("leaving")
+            link.leave()
         self.links.clear()
 
     def set_up(self, effect: messages.SetUp) -> None:
