Fail the set-ups open on a caller's connection before it is closed for bad input

Callers lost set-ups: a connection with open ones that then carried an unreadable or endless line, or an id used for two calls, was closed, and the open set-ups, sound as they were, got no answer.

Cause: the close withdrew them without a word, as if the caller had closed.

Change: CallerProtocol.close fails what is open, then closes. The one set-up whose id was used twice still gets no answer, since the caller could not tell whose it is; a call that stands is not touched.

--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -130,6 +130,14 @@
             self.close("out-overflow", "output queued for all callers exceeds its memory limit", at_once=True)
         return super().send(data)
 
+    def close(self, code: str, detail: str = "", at_once: bool = False) -> None:
+        """Closes the connection as `Connection.close` does, after failing the set-ups open on it."""
+        if not at_once and not self.end_code:
+            for call, uid in list(self.unanswered.items()):
+                self.send(encode_line("stop", uid, reason=CAUSE_FAILED))
+                self.frontend.withdraw(call)
+        super().close(code, detail, at_once)
+
     def reject_bad_setup(self, uid: str) -> None:
         """Answers an unusable set-up with a failure.
 
@@ -376,8 +384,10 @@
             if owner is connection and self.setup_texts.get(call) == texts:
                 return  # a duplicate of an unanswered set-up: the first one gets the answer
             if owner is connection:
-                # The caller could not tell the answers to the two apart, or an answer from a release. Closing
-                # the connection also withdraws the first one if it is unanswered.
+                # The caller could not tell the answers to the two apart, or an answer from a release: an
+                # unanswered one gets none.
+                if call in self.unanswered:
+                    self.withdraw(call)
                 connection.close("id-reused", f"uid {uid}")
                 return
             if owner is not None:
