Refuse set-ups that have arrived unread before a shutdown ends their connection

A set-up that a caller had written more than 50 ms before the end of its connection in a shutdown could be lost: no answer, only the end. Seen with a caller whose set-up before was unusable, after which reading pauses for 0.25 s; input also waits in a flood of lines.

Cause: the connections were finished with input unread, and what was read after that counted as crossing the close, which only holds for set-ups of the last 50 ms.

Change: at the end of the shutdown everything that has arrived is read, also while reading is paused, and set-ups in it are refused; then the connection is finished. At most 64 reads a connection.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -117,8 +117,7 @@
             return
         log(f"left unanswered={len(self.frontend.unanswered)} standing={len(self.frontend.established)}")
         self.driver.post(Shutdown())  # SIGKILL may be near: refuses every call that is still unanswered
-        for connection in list(self.frontend.connections):
-            connection.finish("leaving")
+        self.frontend.finish_connections()
         wait_until = min(self.clock.now_us() + round(CALLERS_WAIT_S * 1e6), schedule.exit_by)
         self.wait_for_callers(wait_until, on_stopped)
 
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -255,6 +255,7 @@
         self.exchanges_tried = False  # a connection to each listed exchange has been tried
         self.list_confirmed = False  # by the command channel, or the wait for it is over
         self.shutting_down = False
+        self.refuses_setups = False  # all of them, at the end of a shutdown
         self.waiting_checks: list[tuple[CallerProtocol, str]] = []  # received before the program was ready
         self.factory = Factory.forProtocol(lambda: CallerProtocol(self))
         self.factory.noisy = False
@@ -270,6 +271,13 @@
         elif len(self.waiting_checks) < MAX_WAITING_CHECKS:
             self.waiting_checks.append((connection, uid))
 
+    def finish_connections(self) -> None:
+        """Refuses the set-ups that have arrived and are unread, and sends nothing after that."""
+        self.refuses_setups = True
+        for connection in list(self.connections):
+            connection.read_arrived_input()
+            connection.finish("leaving")
+
     def start(self) -> None:
         """Starts the wait for the list of exchanges and the checks for idle connections."""
         self.clock.callLater(MAX_LIST_WAIT_S, self.end_list_wait)
@@ -400,6 +408,9 @@
         connection.used = True
         connection.setups_received += 1
         self.releases.setup_received(connection)
+        if self.refuses_setups:
+            connection.send(encode_line("stop", uid, reason=CAUSE_REFUSED))
+            return
         if self.over_limits(connection, texts) or self.list_wait_too_long(arrival):
             connection.send(encode_line("stop", uid, self.overload_meta, reason=CAUSE_NO_CIRCUIT))
             return
--- a/chutefork/net/connection.py
+++ b/chutefork/net/connection.py
@@ -15,6 +15,7 @@
 
 MAX_MESSAGE_BYTES = 16 * 1024
 IO_CHUNK_BYTES = 16 * 1024  # passed to the receiver, or written to the transport, at a time
+MAX_LAST_READS = 64  # of one connection, before it is ended
 INPUT_BUFFER_BYTES = 4 * IO_CHUNK_BYTES
 OUTPUT_BUFFER_BYTES = 256 * 1024
 # Except tab, LF and CR; no valid text contains them.
@@ -147,6 +148,18 @@
         if self.can_read():
             self.transport.resumeProducing()
 
+    def read_arrived_input(self) -> None:
+        """Processes what the peer has sent so far, also while reading is paused."""
+        for _ in range(MAX_LAST_READS):
+            if self.closed or self.end_code:
+                return
+            if self.paused:
+                self.resume_reading()
+            elif self.has_unread_input():
+                self.transport.doRead()
+            else:
+                return
+
     def send(self, data: bytes) -> bool:
         """Queues one message for sending.
 
