Answer what has arrived on SIP connections at the end of a shutdown, and let peers read it

Over TCP an INVITE could get no final response in a shutdown: when nothing was open any more, the program closed its connections at once, with INVITEs unread on them; and the ACK of a caller that was still reading its responses met a closed socket, whose reset threw the unread responses away.

Cause: the SIP side closed where the platform's side finishes: it sent its last messages, but did not wait for peers to read them, and did not look whether something had arrived.

Change: the SIP side reads and answers what has arrived, ends its connections in its own direction, and waits 0.5 s at most, and not beyond the time of its exit, for peers to close. Reading of what has arrived is now shared by both sides and limited for all connections together, so that a crowd cannot delay the end.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -27,11 +27,10 @@
 from .net.connection import log, log_failure
 from .net.driver import Driver
 from .net.exchanges import ExchangeBackend
-from .shutdown import ACCEPT_S, CHECK_INTERVAL_S, ShutdownSchedule
+from .shutdown import ACCEPT_S, CHECK_INTERVAL_S, PEERS_WAIT_S, ShutdownSchedule
 from .sip import settings as sip_settings
 from .sip.node import SipNode
 
-CALLERS_WAIT_S = 0.5  # at the end, for callers to close their connections
 LAST_OUTPUT_S = 0.03  # for connections that are closed to pass their output to the system
 
 
@@ -118,7 +117,7 @@
         log(f"left unanswered={len(self.frontend.unanswered)} standing={len(self.frontend.established)}")
         self.driver.post(Shutdown())  # SIGKILL may be near: refuses every call that is still unanswered
         self.frontend.finish_connections()
-        wait_until = min(self.clock.now_us() + round(CALLERS_WAIT_S * 1e6), schedule.exit_by)
+        wait_until = min(self.clock.now_us() + round(PEERS_WAIT_S * 1e6), schedule.exit_by)
         self.wait_for_callers(wait_until, on_stopped)
 
     def wait_for_callers(self, wait_until: int, on_stopped: Callable[[], None]) -> None:
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -12,7 +12,7 @@
 
 from ..core import messages
 from .caller_releases import CallerReleases
-from .connection import CONTROL_CHARACTERS, MAX_MESSAGE_BYTES, Connection, log
+from .connection import CONTROL_CHARACTERS, MAX_MESSAGE_BYTES, Connection, log, read_arrived_input
 from .token_bucket import TokenBucket
 
 if TYPE_CHECKING:
@@ -274,8 +274,8 @@
     def finish_connections(self) -> None:
         """Refuses the set-ups that have arrived and are unread, and sends nothing after that."""
         self.refuses_setups = True
+        read_arrived_input(self.connections)
         for connection in list(self.connections):
-            connection.read_arrived_input()
             connection.finish("leaving")
 
     def start(self) -> None:
--- a/chutefork/net/connection.py
+++ b/chutefork/net/connection.py
@@ -5,6 +5,8 @@
 import re
 import socket
 import sys
+from collections import deque
+from collections.abc import Iterable
 
 from twisted.internet import error
 from twisted.internet.interfaces import IPushProducer
@@ -15,7 +17,7 @@
 
 MAX_MESSAGE_BYTES = 16 * 1024
 IO_CHUNK_BYTES = 16 * 1024  # passed to the receiver, or written to the transport, at a time
-MAX_LAST_READS = 64  # of one connection, before it is ended
+MAX_LAST_READS = 1024  # of all connections that are ended together
 INPUT_BUFFER_BYTES = 4 * IO_CHUNK_BYTES
 OUTPUT_BUFFER_BYTES = 256 * 1024
 # Except tab, LF and CR; no valid text contains them.
@@ -148,17 +150,17 @@
         if self.can_read():
             self.transport.resumeProducing()
 
-    def read_arrived_input(self) -> None:
-        """Processes what the peer has sent so far, also while reading is paused."""
-        for _ in range(MAX_LAST_READS):
-            if self.closed or self.end_code:
-                return
-            if self.paused:
-                self.resume_reading()
-            elif self.has_unread_input():
-                self.transport.doRead()
-            else:
-                return
+    def read_arrived_piece(self) -> bool:
+        """Processes a piece of what has arrived, also while reading is paused; False if there was none."""
+        if self.closed or self.end_code:
+            return False
+        if self.paused:
+            self.resume_reading()
+            return True
+        if not self.can_read() or not self.has_unread_input():
+            return False
+        self.transport.doRead()
+        return True
 
     def send(self, data: bytes) -> bool:
         """Queues one message for sending.
@@ -259,3 +261,14 @@
 
     def on_closed(self) -> None:
         """Called once after the connection has closed; subclasses clean up what was open on it."""
+
+
+def read_arrived_input(connections: Iterable[Connection]) -> None:
+    """Processes what has arrived on connections that are to be ended, a piece of each in turn."""
+    pending = deque(connections)
+    reads_left = MAX_LAST_READS
+    while pending and reads_left:
+        connection = pending.popleft()
+        if connection.read_arrived_piece():
+            pending.append(connection)
+            reads_left -= 1
--- a/chutefork/shutdown.py
+++ b/chutefork/shutdown.py
@@ -10,6 +10,7 @@
 
 ACCEPT_S = 0.75  # how long calls are accepted after SIGTERM
 CHECK_INTERVAL_S = 0.02  # between checks whether a step of the shutdown is done
+PEERS_WAIT_S = 0.5  # at the end, for peers to read their last messages and close their connections
 MAX_DEADLINE_S = 3.0
 MIN_KILL_AFTER_S = 0.7
 # Before the earliest SIGKILL: for the last answers to be sent again or read, and for the process to end.
--- a/chutefork/sip/node.py
+++ b/chutefork/sip/node.py
@@ -9,9 +9,9 @@
 from ..core.messages import Shutdown
 from ..core.reducer import State
 from ..net.clock import CachedClockReactor, UnixClock
-from ..net.connection import log
+from ..net.connection import log, read_arrived_input
 from ..net.driver import Driver
-from ..shutdown import ACCEPT_S, CHECK_INTERVAL_S, ShutdownSchedule
+from ..shutdown import ACCEPT_S, CHECK_INTERVAL_S, PEERS_WAIT_S, ShutdownSchedule
 from .agent import SipAgent
 from .backend import SipBackend
 from .frontend import SipFrontend
@@ -92,7 +92,7 @@
         now = self.clock.now_us()
         layer = self.agent.layer
         if now >= schedule.exit_by or not layer.awaits_peers():
-            self.close(on_stopped)
+            self.finish_streams(schedule, on_stopped)
             return
         interval_s = CHECK_INTERVAL_S
         if now >= schedule.answer_by:
@@ -101,7 +101,21 @@
         interval_s = min(interval_s, (schedule.exit_by - now) / 1e6)
         self.clock.callLater(interval_s, self.wait_for_peers, schedule, on_stopped)
 
-    def close(self, on_stopped: Callable[[], None]) -> None:
+    def finish_streams(self, schedule: ShutdownSchedule, on_stopped: Callable[[], None]) -> None:
+        """Answers what has arrived on the TCP connections, and sends nothing on them after that."""
+        read_arrived_input(self.transport.streams)
+        for stream in list(self.transport.streams):
+            stream.finish("leaving")
+        wait_until = min(self.clock.now_us() + round(PEERS_WAIT_S * 1e6), schedule.exit_by)
+        self.wait_for_streams(wait_until, on_stopped)
+
+    def wait_for_streams(self, wait_until: int, on_stopped: Callable[[], None]) -> None:
+        """Leaves peers time to read their last messages and to close."""
+        now = self.clock.now_us()
+        if self.transport.streams and now < wait_until:
+            delay_s = min(CHECK_INTERVAL_S, (wait_until - now) / 1e6)
+            self.clock.callLater(delay_s, self.wait_for_streams, wait_until, on_stopped)
+            return
         for stream in list(self.transport.streams):
             stream.close("leaving")
         self.driver.call_log.log_counts()
--- a/tests/test_sip_shutdown.py
+++ b/tests/test_sip_shutdown.py
@@ -4,7 +4,10 @@
 import time
 
 from .sip_harness import CallerAgent, SipTestCase
+from .test_departed_callers import Suspended
 
+ACCEPT_S = 0.75  # after SIGTERM, how long calls are accepted
+UNREAD_OPTIONS, UNREAD_INVITES = 20, 40
 KILL_AFTER_S = 3.7  # SIGKILL comes no sooner: 3 s, the most that counts of the longest deadline, and 0.7 s
 
 
@@ -38,6 +41,29 @@
             caller.ack_error(answer)
         self.assert_exited_before_the_kill()
 
+    def test_invites_that_have_arrived_unread_when_the_program_could_end_get_a_final_response(self):
+        # Guards against INVITEs without a final response because the last look at the sockets came too early.
+        caller = self.endpoint(CallerAgent).connect(self.address)
+        self.terminate()
+        time.sleep(ACCEPT_S - 0.1)
+        with Suspended(self.program):
+            for _ in range(UNREAD_OPTIONS):  # are read first, and leave nothing open
+                caller.send_request("OPTIONS")
+            for _ in range(UNREAD_INVITES):
+                caller.send_invite()
+            time.sleep(0.2)
+        call_ids = set()
+        while len(call_ids) < UNREAD_INVITES:
+            answer = caller.receive()
+            self.assertIsNotNone(answer)
+            if answer.code == 100 or answer.method == "OPTIONS":
+                continue
+            self.assertGreaterEqual(answer.code, 400)
+            call_ids.add(answer.get("Call-ID"))
+            caller.call_id = answer.get("Call-ID")
+            caller.ack_error(answer)
+        self.assert_exited_before_the_kill()
+
 
 class UdpShutdownTests(ShutdownTests, SipTestCase):
     transport = "UDP"
