--- a/tests/soak/fault_run.py
+++ b/tests/soak/fault_run.py
@@ -6,7 +6,7 @@
 import time
 
 from .events import EventLog, read_events
-from .processes import Faults, StandIn
+from .processes import Faults, Ports, StandIn
 
 CALLER_PROCESSES = 2
 FAULTS_S = 8.0  # how long faults begin
@@ -29,6 +29,7 @@
         self.random = random.Random(f"{self.front} {seed}")
         self.log = EventLog(self.events_path("harness"), "harness")
         self.faults = Faults(self.log)
+        self.ports = Ports()
         self.is_crowded = self.random.random() < 0.25
         self.deadline_s = 0.0  # the longest of the deployment
         self.exchanges, self.retired, self.nodes, self.callers = [], [], [], []
@@ -195,3 +196,4 @@
         """Ends all processes."""
         for part in (*self.callers, *self.nodes, *self.exchanges, *self.retired):
             part.close()
+        self.ports.close()
--- a/tests/soak/platform_run.py
+++ b/tests/soak/platform_run.py
@@ -8,7 +8,7 @@
 from .discovery import Discovery
 from .fault_run import FAULTS_S, MEMORY_LIMIT_MB, SOCKET_LIMIT, FaultRun
 from .platform_oracle import check_platform
-from .processes import Node, StandIn, free_port
+from .processes import Node, StandIn
 
 NEW_EXCHANGE_READY_S = 0.5  # from the start of its process
 
@@ -19,10 +19,10 @@
     def __init__(self, run, number, generation=0, since_ms=0):
         self.run, self.number, self.since_ms = run, number, since_ms
         self.name = f"s-{number}-{generation}"
-        self.port = self.listed_port = free_port()
+        self.port = self.listed_port = run.ports.free_port()
         self.proxy = None
         if run.random.random() < 0.4:
-            self.listed_port = free_port()
+            self.listed_port = run.ports.free_port()
             self.proxy = StandIn("proxy_process", {"port": self.listed_port, "target": self.port})
         self.start()
 
@@ -72,7 +72,7 @@
         self.nodes = [self.new_node(number) for number in range(self.random.randint(2, 3))]
 
     def new_node(self, number):
-        port = free_port()
+        port = self.ports.free_port()
         path = self.folder / f"node-{number}.json"
 
         def environment():
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -1,6 +1,7 @@
 """The processes of a run: their start, their signals and their commands."""
 
 import contextlib
+import fcntl
 import json
 import os
 import random
@@ -8,8 +9,10 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
+from pathlib import Path
 
 from ..platform_harness import ROOT
 
@@ -17,16 +20,51 @@
 START_TIMEOUT_S = 20.0
 
 
-def free_port():
-    """A port of loopback that is free now, for UDP too, and that no outgoing connection takes meanwhile."""
-    while True:
-        port = random.randrange(*PORTS)
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            with contextlib.suppress(OSError):
-                for sock in (tcp, udp):
-                    sock.bind(("127.0.0.1", port))
+class Ports:
+    """Ports that belong to one run until it ends, whatever else runs on the machine.
+
+    A port may be free while its process is not started yet, or is being replaced; the lock on a file tells
+    other runs that it is taken.
+    """
+
+    def __init__(self):
+        self.folder = Path(tempfile.gettempdir()) / f"chutefork-soak-ports-{os.getuid()}"
+        self.folder.mkdir(exist_ok=True)
+        self.locks = []  # descriptors
+
+    def free_port(self):
+        """A port of loopback that is free, for UDP too, and that no outgoing connection takes meanwhile."""
+        while True:
+            port = random.randrange(*PORTS)
+            if self.reserve(port) and _is_unused(port):
                 return port
 
+    def reserve(self, port):
+        """Takes a port; False if another run has it."""
+        descriptor = os.open(self.folder / str(port), os.O_CREAT | os.O_RDWR, 0o600)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(descriptor)
+            return False
+        self.locks.append(descriptor)
+        return True
+
+    def close(self):
+        """Leaves the ports to other runs."""
+        while self.locks:
+            os.close(self.locks.pop())
+
+
+def _is_unused(port):
+    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+        try:
+            for sock in (tcp, udp):
+                sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
+
 
 class StandIn:
     """A module of this package that runs as a process, configured by JSON and commanded by lines."""
--- a/tests/soak/sip_run.py
+++ b/tests/soak/sip_run.py
@@ -6,7 +6,7 @@
 from ..platform_harness import ROOT
 from ..sip_harness import FakeConsul
 from .fault_run import FAULTS_S, FaultRun
-from .processes import Node, StandIn, free_port
+from .processes import Node, StandIn
 from .sip_oracle import check_sip
 
 HUBS_BACK_AFTER_S = 1.0  # after Consul has lost its state
@@ -18,7 +18,7 @@
     def __init__(self, run, number, instance=0):
         self.run, self.number, self.instance = run, number, instance
         self.name = f"hub-{number}-{instance}"
-        self.port, self.transport = free_port(), run.transport
+        self.port, self.transport = run.ports.free_port(), run.transport
         self.start()
 
     def start(self):
@@ -70,7 +70,7 @@
             self.consul.condition.notify_all()
 
     def new_node(self, number):
-        port = free_port()
+        port = self.ports.free_port()
         path = self.folder / f"node-{number}.toml"
         text = (ROOT / "deploy" / "sip.toml").read_text()
         for old, new in (
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from .platform_harness import ROOT
 from .soak.events import EventLog, read_events
 from .soak.platform_oracle import check_platform
+from .soak.processes import Ports
 from .soak.timed_reader import TimedReader
 
 SEEDS = "1-3"
@@ -58,6 +59,18 @@
         self.assertGreaterEqual(lines[2][1], first_arrival + 0.2)
 
 
+class PortsTests(unittest.TestCase):
+    def test_port_of_a_run_is_given_to_no_other_run_until_it_ends(self):
+        # Guards against a node that cannot start since another run has taken its port.
+        first, second = Ports(), Ports()
+        self.addCleanup(first.close)
+        self.addCleanup(second.close)
+        port = first.free_port()
+        self.assertFalse(second.reserve(port))
+        first.close()
+        self.assertTrue(second.reserve(port))
+
+
 class OracleTests(unittest.TestCase):
     """The oracle finds what it is there for, in records that are written by hand."""
 
