--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -12,7 +12,8 @@
 
 from ..core import messages
 from .caller_releases import CallerReleases
-from .connection import CONTROL_CHARACTERS, MAX_MESSAGE_BYTES, Connection, log, read_arrived_input
+from .connection import MAX_MESSAGE_BYTES, Connection, log, read_arrived_input
+from .setups import SetupParser, SetupTexts
 from .token_bucket import TokenBucket
 
 if TYPE_CHECKING:
@@ -39,11 +40,8 @@
 # Of the file descriptors; the rest is for exchanges, the command channel and the program itself.
 CALLER_SOCKETS_SHARE = 3 / 4
 OUTPUT_MEMORY_SHARE = 1 / 4  # of the memory, for output queued to callers
-# A set-up is unusable if its time left is more than the longest configured deadline times this factor.
-TIME_LEFT_MARGIN = 1.1
 MAX_UNANSWERED_PER_MB = 50  # set-ups on all connections, per megabyte of memory
 DESCRIPTION_MEMORY_SHARE = 1 / 8  # of the memory, for the descriptions of unanswered set-ups
-FRAME_OVERHEAD_BYTES = 64  # of a set-up in an exchange's frame, besides its texts
 MAX_WAITING_CHECKS = 64  # health checks that come before the program is ready
 # At the start, how long set-ups wait for the command channel to confirm the list of exchanges. Without it a
 # set-up could go to an exchange whose drain was announced just before the start.
@@ -233,20 +231,16 @@
     def __init__(self, driver: Driver, config: Config, clock: CachedClockReactor) -> None:
         self.driver = driver
         self.clock = clock
-        self.classes = {name: index for index, name in enumerate(config.class_names)}
-        self.tenants = {name: index for index, name in enumerate(config.tenant_names)}
-        self.widths = [call_class.width_circuits for call_class in config.settings.classes]
+        self.parser = SetupParser(config)
         self.max_connections = max(round(config.max_sockets * CALLER_SOCKETS_SHARE), 1)
         self.output_limit = round(config.memory_mb * 2**20 * OUTPUT_MEMORY_SHARE)  # bytes, all connections
         self.output_share = self.output_limit // self.max_connections  # bytes, one connection
-        self.max_time_left_ms = config.longest_deadline_s * 1000 * TIME_LEFT_MARGIN
         self.connections: dict[CallerProtocol, None] = {}  # oldest first
         self.unanswered: dict[int, CallerProtocol] = {}  # set-ups: call -> where the final answer goes
         self.established: dict[int, tuple[CallerProtocol, str]] = {}  # call -> connection, uid
         self.releases = CallerReleases(self.connections)
         self.unknown_releases = TokenBucket(MAX_UNKNOWN_RELEASES_PER_S, MAX_UNKNOWN_RELEASES_PER_S)
-        # call -> class, number called, description as given
-        self.setup_texts: dict[int, tuple[str, str, str]] = {}
+        self.setup_texts: dict[int, SetupTexts] = {}  # by call, of those without a final answer
         self.description_room = round(config.memory_mb * 2**20 * DESCRIPTION_MEMORY_SHARE)  # bytes left
         self.max_unanswered = round(config.memory_mb * MAX_UNANSWERED_PER_MB)
         wait_ms = round(config.settings.max_hold_off_s * 1000) if config.settings.hold_off_allowed else 0
@@ -387,7 +381,7 @@
     def launch(self, connection: CallerProtocol, call: int, uid: str, record: dict) -> None:
         """Accepts a set-up, or answers it here: as failed if it is unusable, as refused over the limits."""
         try:
-            arrival, texts = self.parse_setup(call, record)
+            arrival, texts = self.parser.parse(call, record)
             owner = self.unanswered.get(call) or self.established.get(call, (None,))[0]
             if owner is connection and self.setup_texts.get(call) == texts:
                 return  # a duplicate of an unanswered set-up: the first one gets the answer
@@ -417,69 +411,22 @@
         self.unanswered[call] = connection
         connection.unanswered[call] = uid
         self.setup_texts[call] = texts
-        self.description_room -= len(texts[2])
+        self.description_room -= len(texts.description)
         connection.undispatched[call] = arrival, self.clock.now_us()
         connection.dispatch()
 
-    def over_limits(self, connection: CallerProtocol, texts: tuple[str, str, str]) -> bool:
+    def over_limits(self, connection: CallerProtocol, texts: SetupTexts) -> bool:
         """Whether one more set-up with these texts would take more memory than set-ups may."""
         return (
             len(connection.unanswered) >= MAX_UNANSWERED_PER_CONNECTION
             or len(self.unanswered) >= self.max_unanswered
-            or len(texts[2]) > self.description_room
+            or len(texts.description) > self.description_room
         )
 
     def list_wait_too_long(self, arrival: messages.Arrival) -> bool:
         """Whether the caller may stop waiting before the wait for the list of exchanges is over."""
         return not self.list_confirmed and arrival.time_left_us < MIN_TIME_LEFT_TO_WAIT_US
 
-    def parse_setup(self, call: int, record: dict) -> tuple[messages.Arrival, tuple[str, str, str]]:
-        """The arrival for the core, and the class, number called and description for the exchange.
-
-        Raises ValueError, KeyError, TypeError or OverflowError for an unusable set-up.
-        """
-        meta, body = record.get("meta"), record.get("body", "")
-        if not isinstance(meta, dict) or not isinstance(body, str):
-            raise TypeError("meta must be an object and body a string")
-        extras = dict(part.split(":", 1) for part in str(meta.get("extras", "")).split(";") if ":" in part)
-        name = str(meta["class"])
-        if name not in self.classes:
-            raise ValueError(f"class {name!r} is not in the settings")
-        class_index = self.classes[name]
-        left_ms = float(meta["left"])
-        if not 0 <= left_ms <= self.max_time_left_ms:
-            raise ValueError(f"left {left_ms!r} is out of range")
-        tenant = str(meta.get("tenant", ""))
-        if tenant not in self.tenants and (tenant or self.tenants):
-            raise ValueError(f"tenant {tenant!r} is not in the settings")
-        key = str(meta.get("key", ""))
-        if not re.fullmatch(r"[0-9a-fA-F]{1,16}", key):
-            raise ValueError(f"key {key[:20]!r} is not 1 to 16 hex digits")
-        arrival = messages.Arrival(
-            call,
-            class_index,
-            float(extras.get("width", self.widths[class_index])),
-            int(left_ms * 1000),
-            self.tenants.get(tenant, 0),
-            int(key, 16),
-            int(float(extras["dest"])),
-            extras.get("transit") == "1",
-            extras.get("again") == "1",
-            False,
-            int(float(extras.get("via", -1))),
-        )
-        body.encode()  # raises for a lone surrogate, which JSON can hold but UTF-8 cannot
-        if arrival.width_circuits != self.widths[class_index]:
-            raise ValueError(f"width {arrival.width_circuits!r} differs from that of the class")
-        if arrival.destination < 0 or arrival.advice < -1:
-            raise ValueError("dest or via is out of range")
-        # Avoids the loss of other calls: an exchange closes its connection on a set-up that it cannot read.
-        if not body or CONTROL_CHARACTERS.search(body):
-            raise ValueError("body is empty or has control characters")
-        if len(name) + len(key) + len(body.encode()) + FRAME_OVERHEAD_BYTES > MAX_MESSAGE_BYTES:
-            raise ValueError("set-up is too long for an exchange's frame")
-        return arrival, (name, key, body)
-
     def withdraw(self, call: int) -> None:
         """Withdraws a set-up or hangs up an established call; the request may come on any connection."""
         connection = self.unanswered.pop(call, None)
@@ -516,7 +463,7 @@
 
     def discard_texts(self, call: int) -> None:
         texts = self.setup_texts.pop(call, None)
-        self.description_room += len(texts[2]) if texts is not None else 0
+        self.description_room += len(texts.description) if texts is not None else 0
 
     # ---- effects
 
--- a/chutefork/net/exchange_link.py
+++ b/chutefork/net/exchange_link.py
@@ -14,6 +14,7 @@
 from .connection import CONTROL_CHARACTERS, log
 from .exchange_connection import MAX_ESTABLISHED_SILENCE_US, ExchangeProtocol
 from .frames import Frame, MessageType, ParameterCode, encode_frame
+from .setups import NO_TEXTS
 
 if TYPE_CHECKING:
     from .exchanges import ExchangeBackend
@@ -293,15 +294,15 @@
 
     def send(self, effect: messages.SetUp, queued_at: int) -> None:
         remaining_us = effect.timeout_us - (self.clock.now_us() - queued_at)
-        class_name, number, description = self.backend.frontend.setup_texts.get(effect.call, ("", "", ""))
+        texts = self.backend.frontend.setup_texts.get(effect.call, NO_TEXTS)
         data = encode_frame(
             MessageType.SETUP,
             effect.call,
             [
-                (ParameterCode.CLASS, class_name.encode()),
+                (ParameterCode.CLASS, texts.class_name.encode()),
                 (ParameterCode.TIME_LEFT, str(max(remaining_us // 1000, 1)).encode()),
-                (ParameterCode.NUMBER, number.encode()),
-                (ParameterCode.DESCRIPTION, description.encode()),
+                (ParameterCode.NUMBER, texts.number.encode()),
+                (ParameterCode.DESCRIPTION, texts.description.encode()),
             ],
         )
         if self.connection is None or not self.connection.send(data):
