Release unknown calls at exchanges that are listed soon after as well

The caller may send the end on any connection. The process that got it, 30 ms after its SIGTERM, did not know the call and passed the release to all exchanges it knew. The call's exchange was not among them: it had been published 0.6 s before, another process was told of it at once, this one not yet, since discovery had been silent.

Change: releases of unknown calls are kept for 8 s, a little longer than a list may be late, and go to each exchange that is new in a list.

Result: the new test failed before (the later listed exchange got no release) and passes.

--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -29,6 +29,8 @@
 FINISHED_CALL_RETENTION_US = 30 * US_PER_SECOND
 # The same for a call that may still run at a hub which its release has not reached: an outage may last.
 UNCERTAIN_CALL_RETENTION_US = 900 * US_PER_SECOND
+# How long a release of an unknown call also goes to hubs that are new here: a list may come 7 s late.
+UNKNOWN_RELEASE_RETENTION_US = 8 * US_PER_SECOND
 MAX_UNCERTAIN_CALLS = 20_000  # beyond it the oldest is forgotten
 UNCERTAIN_OUTCOMES = (api.Outcome.TIMEOUT, api.Outcome.CUT, api.Outcome.CANCELLED)
 
@@ -73,6 +75,8 @@
     finished_at: dict[int, int] = field(default_factory=dict)  # call id -> when it finished, oldest first
     # Those of the finished calls that may still run at a hub: call id -> when it finished, oldest first.
     uncertain_at: dict[int, int] = field(default_factory=dict)
+    # Calls released by their callers that were not known here: call id -> when, oldest first.
+    unknown_released_at: dict[int, int] = field(default_factory=dict)
     hubs: dict[str, HubEntry] = field(default_factory=dict)  # by hub name
     hub_by_switch: dict[int, str] = field(default_factory=dict)  # the controller's switch number -> hub name
     switch_by_hub: dict[str, int] = field(default_factory=dict)  # the inverse of `hub_by_switch`
@@ -101,6 +105,7 @@
     _HANDLERS[type(event)](state, event, now, effects)
     _forget_until(state.finished_at, now - FINISHED_CALL_RETENTION_US)
     _forget_until(state.uncertain_at, now - UNCERTAIN_CALL_RETENTION_US)
+    _forget_until(state.unknown_released_at, now - UNKNOWN_RELEASE_RETENTION_US)
     if state.timers and state.timers[0][0] != state.wake_at:
         state.wake_at = state.timers[0][0]
         effects.append(messages.WakeAt(state.wake_at))
@@ -346,15 +351,15 @@
     """Handles a caller that releases a call which its frontend does not know.
 
     The call may stand since before this program's restart, or have been set up by another controller: only
-    its hub knows it. It is released at every hub, since a release of a call that does not stand has no
-    effect. Ignored for a call that is known here after all or finished recently.
+    its hub knows it. It is released at every hub, also at those listed soon after, since a release of a call
+    that does not stand has no effect. Ignored for a call that is known here after all or finished recently.
     """
     if event.call in state.finished_at:
         return
     if event.call in state.calls or event.call in state.established:
         _on_withdrawn(state, messages.Withdrawn(event.call), now, effects)
         return
-    state.finished_at[event.call] = now
+    state.finished_at[event.call] = state.unknown_released_at[event.call] = now
     effects.extend(messages.Release(event.call, name) for name in sorted(state.hubs))
 
 
@@ -468,9 +473,11 @@
 
     With any kind but CHANGES, hubs that are not listed are gone. The calls established at a hub that is gone
     are cut, at one that has restarted those from before its start; attempts open at a hub that is gone end
-    with CUT. Every hub but those of this exchange's own number gets an `UpdateHubConnection` effect.
+    with CUT. Every hub but those of this exchange's own number gets an `UpdateHubConnection` effect. Calls
+    that are not known here and were released a moment ago are released at new hubs too.
     """
     listed_names = set()
+    new_names = [hub.name for hub in event.hubs if hub.name not in state.hubs]
     for hub in event.hubs:
         listed_names.add(hub.name)
         switch = state.switch_by_hub.get(hub.name)
@@ -525,6 +532,12 @@
             # Hubs keep appearing under new names all day. Removing those that are gone keeps the state from
             # growing without limit.
             del state.hubs[name], state.switch_by_hub[name], state.hub_by_switch[entry.switch]
+    effects.extend(
+        messages.Release(call_id, name)
+        for name in new_names
+        if name in state.hubs
+        for call_id in state.unknown_released_at
+    )
 
 
 def _on_hub_restarted(
--- a/tests/test_controller_restarts.py
+++ b/tests/test_controller_restarts.py
@@ -76,6 +76,19 @@
         self.exchange1.accept()
         self.assertEqual(self.exchange1.read()[:2], (RELEASE, A))
 
+    def test_release_reaches_an_exchange_that_is_listed_only_later(self):
+        # Guards against a call that stands on at an exchange of which another controller was told before.
+        other = self.exchange("s-3", 3)
+        caller = self.caller()
+        caller.send(kind="stop", uid=A, meta={}, reason=CAUSE_NORMAL)
+        self.assertEqual(self.exchange1.read()[:2], (RELEASE, A))
+        self.channel.publish(other.entry())
+        other.accept()
+        self.assertEqual(other.read()[:2], (RELEASE, A))
+        self.channel.publish(other.entry())  # a list that says nothing new
+        caller.send(kind="stop", uid=C, meta={}, reason=CAUSE_NORMAL)
+        self.assertEqual(other.read()[:2], (RELEASE, C))
+
     def test_release_reaches_a_draining_exchange(self):
         # Guards against a call that stands on where no new calls are sent.
         self.channel.publish(self.exchange1.entry("Terminating"))
