Keep the state of the core in a module of its own

The classes, with what keeps and forgets ids and adds timers, are now core/state.py; the reducer's functions are unchanged.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -20,7 +20,7 @@
 
 from .config import Config, ConfigError, hub_list_event, load, parse_address
 from .core.messages import Shutdown
-from .core.reducer import State
+from .core.state import State
 from .net.callers import CallerFrontend
 from .net.channel import Channel
 from .net.clock import CachedClockReactor, UnixClock, install
--- a/chutefork/core/reducer.py
+++ b/chutefork/core/reducer.py
@@ -10,13 +10,11 @@
 from __future__ import annotations
 
 import heapq
-from dataclasses import dataclass, field
 
 from .. import interface as api
-from ..call_controller import CallController
 from . import messages
+from .state import US_PER_SECOND, Call, HubEntry, State
 
-US_PER_SECOND = 1_000_000
 # Subtracted from the time the caller waits: transit in both directions, and delay in a busy event loop.
 ANSWER_MARGIN_US = 60_000
 # Added to the release wait: a release may take longer to reach its hub than the next set-up takes to reach
@@ -25,76 +23,9 @@
 # How long a hub gets no further attempt of a call after it has ended one: a second copy of its message, which
 # may come some milliseconds late, would be taken for the end of the next attempt.
 SAME_HUB_PAUSE_US = 100_000
-# How long the id of a finished call is kept, so that late answers and releases for it are recognized.
-FINISHED_CALL_RETENTION_US = 30 * US_PER_SECOND
-# The same for a call that may still run at a hub which its release has not reached: an outage may last.
-UNCERTAIN_CALL_RETENTION_US = 900 * US_PER_SECOND
-# How long a release of an unknown call also goes to hubs that are new here: a list may come 7 s late.
-UNKNOWN_RELEASE_RETENTION_US = 8 * US_PER_SECOND
-MAX_UNCERTAIN_CALLS = 20_000  # beyond it the oldest is forgotten
 UNCERTAIN_OUTCOMES = (api.Outcome.TIMEOUT, api.Outcome.CUT, api.Outcome.CANCELLED)
 
 
-@dataclass(slots=True)
-class Call:
-    """A call that has not had its final answer yet."""
-
-    arrival: messages.Arrival
-    answer_by: int  # when the final answer is due: the caller's time limit less ANSWER_MARGIN_US
-    attempts: int = 0  # attempts so far, including those that ended before a set-up was sent
-    pending_hub: str | None = None  # name of the hub that the open attempt was sent to; None: none open
-    sent_at: int = 0  # when the latest set-up was sent; 0: none sent
-    release_wait_until: int = 0  # end of the release wait, before which no set-up may be sent
-    last_hub: str | None = None  # that the latest attempt was sent to
-    last_hub_until: int = 0  # before this no set-up may be sent to `last_hub`
-    deferred_setup: api.SetUp | None = None  # set-up to be sent at the end of these waits
-    may_run: bool = False  # an attempt has ended without proof that it does not run at its hub
-    last_result: tuple[api.Outcome, api.Reason] | None = None  # of the latest attempt; None: none has ended
-
-
-@dataclass(slots=True)
-class HubEntry:
-    """A listed hub and the calls established there."""
-
-    hub: messages.Hub  # as last listed
-    switch: int  # the number by which the controller identifies the hub
-    established_calls: dict[int, int] = field(default_factory=dict)  # call id -> when its answer came
-
-
-@dataclass(slots=True)
-class State:
-    """The whole state of one call controller, changed only by `reduce`.
-
-    A call id is in at most one of `calls`, `established` and `finished_at`.
-    """
-
-    settings: api.Settings
-    controller: CallController
-    calls: dict[int, Call] = field(default_factory=dict)  # call id -> call without a final answer
-    established: dict[int, str] = field(default_factory=dict)  # call id -> name of the hub that it is up at
-    finished_at: dict[int, int] = field(default_factory=dict)  # call id -> when it finished, oldest first
-    # Those of the finished calls that may still run at a hub: call id -> when it finished, oldest first.
-    uncertain_at: dict[int, int] = field(default_factory=dict)
-    # Calls released by their callers that were not known here: call id -> when, oldest first.
-    unknown_released_at: dict[int, int] = field(default_factory=dict)
-    hubs: dict[str, HubEntry] = field(default_factory=dict)  # by hub name
-    hub_by_switch: dict[int, str] = field(default_factory=dict)  # the controller's switch number -> hub name
-    switch_by_hub: dict[str, int] = field(default_factory=dict)  # the inverse of `hub_by_switch`
-    # Heap of (due time, sequence number, kind, key, attempt). The kinds, and what they hold as key:
-    # "controller": token of a timer set by the controller; "deferred_setup": id of a call whose release wait
-    # ends; "attempt_timeout": id of a call whose attempt number `attempt` expires; "answer_deadline": id of a
-    # call whose final answer is due.
-    timers: list[tuple[int, int, str, int, int]] = field(default_factory=list)
-    timer_sequence: int = 0  # latest sequence number: timers due at the same time fire in the order set
-    last_switch_number: int = 0  # latest switch number assigned; numbers of removed hubs are not reused
-    wake_at: int = 0  # the time in the latest `WakeAt` effect; 0: none outstanding
-
-    @classmethod
-    def initial(cls, settings: api.Settings) -> State:
-        """Returns the state at program start: no calls, no hubs, and a new controller with these settings."""
-        return cls(settings, CallController(settings))
-
-
 def reduce(state: State, event: messages.Event, now: int) -> list[messages.Effect]:
     """Applies `event` to `state` in place and returns the effects, in the order in which to carry them out.
 
@@ -103,44 +34,13 @@
     """
     effects: list[messages.Effect] = []
     _HANDLERS[type(event)](state, event, now, effects)
-    _forget_until(state.finished_at, now - FINISHED_CALL_RETENTION_US)
-    _forget_until(state.uncertain_at, now - UNCERTAIN_CALL_RETENTION_US)
-    _forget_until(state.unknown_released_at, now - UNKNOWN_RELEASE_RETENTION_US)
+    state.forget_expired(now)
     if state.timers and state.timers[0][0] != state.wake_at:
         state.wake_at = state.timers[0][0]
         effects.append(messages.WakeAt(state.wake_at))
     return effects
 
 
-def _forget_until(finished_at: dict[int, int], until: int) -> None:
-    """Removes the calls that finished until then; the dict is ordered by time."""
-    while finished_at:
-        call_id = next(iter(finished_at))
-        if finished_at[call_id] > until:
-            break
-        del finished_at[call_id]
-
-
-def _finish(state: State, call_id: int, call: Call, now: int) -> None:
-    """Keeps the id of a call that has ended without being established."""
-    state.finished_at[call_id] = now
-    if call.may_run or call.pending_hub is not None:
-        state.uncertain_at[call_id] = now
-        if len(state.uncertain_at) > MAX_UNCERTAIN_CALLS:
-            del state.uncertain_at[next(iter(state.uncertain_at))]
-
-
-def _is_finished(state: State, call_id: int) -> bool:
-    """Whether the call is known to have ended here."""
-    return call_id in state.finished_at or call_id in state.uncertain_at
-
-
-def _add_timer(state: State, at: int, kind: str, key: int, attempt: int = 0) -> None:
-    """Adds a timer that fires at the time `at`; see `State.timers` for the other parameters."""
-    state.timer_sequence += 1
-    heapq.heappush(state.timers, (at, state.timer_sequence, kind, key, attempt))
-
-
 def _run_controller(state: State, event: api.Event, now: int, effects: list[messages.Effect]) -> None:
     """Passes an event to the controller and carries out the actions that it returns."""
     for action in state.controller.handle(now / US_PER_SECOND, event):
@@ -153,7 +53,7 @@
         elif isinstance(action, api.Fail):
             _finish_with_failure(state, action.call, now, effects, refused=False)
         elif isinstance(action, api.SetTimer):
-            _add_timer(state, now + round(action.delay_s * US_PER_SECOND), "controller", action.token)
+            state.add_timer(now + round(action.delay_s * US_PER_SECOND), "controller", action.token)
         elif isinstance(action, api.LogMessage):
             effects.append(messages.LogMessage(action.text))
         # Probe, SendPeerMessage and Subscribe are ignored: this deployment allows neither probes nor messages
@@ -176,7 +76,7 @@
         earliest = max(earliest, call.last_hub_until)
     if now < earliest:  # the waits hold whatever the controller asks for
         call.deferred_setup = action
-        _add_timer(state, earliest, "deferred_setup", action.call)
+        state.add_timer(earliest, "deferred_setup", action.call)
         return
     timeout_us = min(round(action.abandon_at_s * US_PER_SECOND) or call.answer_by, call.answer_by) - now
     accepts_setups = entry is not None and entry.hub.state is api.SwitchState.READY
@@ -191,7 +91,7 @@
     call.attempts += 1
     call.pending_hub = call.last_hub = hub_name
     call.sent_at, call.deferred_setup = now, None
-    _add_timer(state, now + timeout_us, "attempt_timeout", action.call, call.attempts)
+    state.add_timer(now + timeout_us, "attempt_timeout", action.call, call.attempts)
     effects.append(messages.SetUp(action.call, hub_name, timeout_us))
 
 
@@ -212,7 +112,7 @@
     call = state.calls.pop(call_id, None)
     if call is None:
         return
-    _finish(state, call_id, call, now)
+    state.finish(call_id, call, now)
     if call.pending_hub is not None:
         effects.append(messages.Release(call_id, call.pending_hub))
     outcome, reason = call.last_result or (api.Outcome.NOT_SENT, api.Reason.NONE)
@@ -289,7 +189,7 @@
         return
     remaining_us = max(event.time_left_us - ANSWER_MARGIN_US, 0)
     state.calls[event.call] = Call(event, now + remaining_us)
-    _add_timer(state, now + remaining_us, "answer_deadline", event.call)
+    state.add_timer(now + remaining_us, "answer_deadline", event.call)
     _run_controller(
         state,
         api.Arrival(
@@ -318,7 +218,7 @@
     """
     call = state.calls.pop(event.call, None)
     if call is not None:
-        _finish(state, event.call, call, now)
+        state.finish(event.call, call, now)
         if call.pending_hub is not None:
             effects.append(messages.Release(event.call, call.pending_hub))
         _run_controller(state, api.Withdrawn(event.call), now, effects)
@@ -411,7 +311,7 @@
     call = state.calls.get(event.call)
     if call is not None and call.pending_hub == event.hub or state.established.get(event.call) == event.hub:
         return  # a duplicate, or the call is being set up there again: a release would end it
-    if call is not None or _is_finished(state, event.call) or event.call in state.established:
+    if call is not None or state.is_finished(event.call) or event.call in state.established:
         # The answer crossed the release of its attempt. Without another release the call would stay up at the
         # hub without a caller.
         effects.append(messages.Release(event.call, event.hub))
@@ -460,7 +360,7 @@
             now,
             effects,
         )
-    elif event.call not in state.established and not _is_finished(state, event.call):
+    elif event.call not in state.established and not state.is_finished(event.call):
         # A call established before this program restarted has ended: only its caller still knows the call.
         state.finished_at[event.call] = now
         effects.append(messages.CallEnded(event.call, event.outcome is not api.Outcome.OK))
--- a/chutefork/net/driver.py
+++ b/chutefork/net/driver.py
@@ -9,7 +9,8 @@
 
 from ..core import messages
 from ..core.guard import EffectGuard
-from ..core.reducer import State, reduce
+from ..core.reducer import reduce
+from ..core.state import State
 from ..interface import Outcome
 from .call_log import CallLog
 from .clock import CachedClockReactor
--- a/chutefork/sip/node.py
+++ b/chutefork/sip/node.py
@@ -7,7 +7,7 @@
 from ..consul import Registration
 from ..consul_membership import ConsulMembership
 from ..core.messages import Shutdown
-from ..core.reducer import State
+from ..core.state import State
 from ..net.clock import CachedClockReactor, UnixClock
 from ..net.connection import log, read_arrived_input
 from ..net.driver import Driver
--- a/tests/test_finished_calls.py
+++ b/tests/test_finished_calls.py
@@ -3,7 +3,8 @@
 import unittest
 
 from chutefork.core import messages
-from chutefork.core.reducer import State, reduce
+from chutefork.core.reducer import reduce
+from chutefork.core.state import State
 from chutefork.interface import ListKind, Outcome, SwitchState
 
 from .controller_harness import SETTINGS
