Record in the soak a set-up that could not be sent again as given up

The record shows its only launch 0.5 ms before the end of its connection in a shutdown, the caller's note that the two crossed, and nothing after that: no second launch, no given-up, and no line about the call in any log. Where the caller's next connection had ended too, it dropped the set-up without a record. It now notes it as given up.

--- a/tests/soak/caller_process.py
+++ b/tests/soak/caller_process.py
@@ -110,6 +110,7 @@
             self.reset()
 
     async def send_set_up(self, uid, left_ms):
+        """Writes a set-up; returns whether that was possible."""
         data = self.record(
             "launch",
             uid,
@@ -124,9 +125,10 @@
         )
         connection = self.connection
         if not await self.write(data) or self.connection is not connection:
-            return
+            return False
         self.waiting[uid] = time.monotonic(), left_ms
         self.log.write("launch", call=uid, left_s=left_ms / 1000, port=connection[2])
+        return True
 
     async def give_up(self, uid):
         if self.waiting.pop(uid, None) is not None:
@@ -205,10 +207,10 @@
                 self.log.write("unanswered", call=uid, port=port, age_s=now - written_at)
 
     async def send_again(self, uid, left_ms):
-        if self.connection is None and not await self.connect():
+        if self.connection is None:
+            await self.connect()
+        if self.connection is None or not await self.send_set_up(uid, left_ms):
             self.log.write("given-up", call=uid)
-        else:
-            await self.send_set_up(uid, left_ms)
 
 
 class NonsenseCaller(Caller):
