Leave quiet exchanges too in a shutdown without callers

The record shows: the last caller closed, the process left all exchanges but s-2-1 and s-1-0, and these sent their ends to it, 0.02 and 0.2 s before it was gone.

Cause: kept the link to an exchange that had sent no frame since a release was written to it. A quiet exchange sends none for long, and its next one is the end of a call.

Change: a link is kept only for a release that waits: for a connection, or for the exchange to read. What the kernel has is delivered before the end of the connection, also to an exchange that hangs. It is lost if the network resets the connection before that, when the process is gone.

--- a/chutefork/net/exchange_connection.py
+++ b/chutefork/net/exchange_connection.py
@@ -95,11 +95,6 @@
                 self.send(encode_release(call))
         super().close(code, detail, at_once)
 
-    def has_unsent_releases(self) -> bool:
-        """Whether a release is still in the output buffer, or no frame has come since one was sent."""
-        latest = next(reversed(self.unconfirmed_releases.values()), None)
-        return len(self.output_buffer) > 0 or (latest is not None and latest >= self.last_frame_at)
-
     def confirm_releases(self, now: int) -> None:
         """Forgets the releases that have arrived, as a frame received now shows."""
         for call, sent_at in list(self.unconfirmed_releases.items()):
--- a/chutefork/net/exchange_link.py
+++ b/chutefork/net/exchange_link.py
@@ -181,10 +181,10 @@
             self.backend.driver.post(messages.HubDown(self.hub.name))
 
     def has_unsent_releases(self) -> bool:
-        """Whether a release is still to be sent, or may not have arrived: no frame has come since."""
-        if self.connection is None:
-            return bool(self.queued_releases)
-        return self.connection.has_unsent_releases()
+        """Whether a release waits for a connection, or for the exchange to read."""
+        return bool(self.queued_releases) or (
+            self.connection is not None and len(self.connection.output_buffer) > 0
+        )
 
     def leave(self) -> None:
         """Ends the connection, or the attempt to open one, for good."""
--- a/chutefork/net/exchanges.py
+++ b/chutefork/net/exchanges.py
@@ -87,7 +87,7 @@
         link.disconnect("let-go")
 
     def leave_served_exchanges(self) -> bool:
-        """Leaves each exchange that no release is on its way to; returns whether none is left.
+        """Leaves each exchange for which no release waits; returns whether none is left.
 
         For a shutdown without callers: the exchanges then tell another process of the ends of their calls.
         """
