--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -83,6 +83,13 @@
     def launch(self):
         self.log.write("launch", call=CALL, left_s=0.0, port=1)
 
+    def establish(self):
+        """Writes a call that stands at the first exchange."""
+        self.launch()
+        self.log.write("set-up", call=CALL, second=False)
+        self.log.write("answered", call=CALL)
+        self.log.write("running", call=CALL, body=f"v=0 {CALL}")
+
     def violations(self):
         """The violations in the record, seen long after its last event."""
         events = read_events(self.folder)
@@ -93,10 +100,7 @@
         self.assertIn(text, "\n".join(self.violations()))
 
     def test_sound_call(self):
-        self.launch()
-        self.log.write("set-up", call=CALL, second=False)
-        self.log.write("answered", call=CALL)
-        self.log.write("running", call=CALL, body=f"v=0 {CALL}")
+        self.establish()
         self.log.write("hung-up", call=CALL)
         self.log.write("released", call=CALL, state="standing")
         self.assertEqual(self.violations(), [])
@@ -112,27 +116,18 @@
         self.assert_found("second answer")
 
     def test_call_left_standing(self):
-        self.launch()
-        self.log.write("set-up", call=CALL, second=False)
-        self.log.write("answered", call=CALL)
-        self.log.write("running", call=CALL, body=f"v=0 {CALL}")
+        self.establish()
         self.log.write("hung-up", call=CALL)
         self.assert_found("left standing")
 
     def test_end_that_its_caller_is_never_told(self):
-        self.launch()
-        self.log.write("set-up", call=CALL, second=False)
-        self.log.write("answered", call=CALL)
-        self.log.write("running", call=CALL, body=f"v=0 {CALL}")
+        self.establish()
         self.log.write("ended", call=CALL, sent=True, on_own_connection=False)
         self.assert_found("release")
 
     def end_told_after(self, seconds, **ended):
         """Writes a call whose end its caller is told so long after the exchange has sent it."""
-        self.launch()
-        self.log.write("set-up", call=CALL, second=False)
-        self.log.write("answered", call=CALL)
-        self.log.write("running", call=CALL, body=f"v=0 {CALL}")
+        self.establish()
         now = time.monotonic()
         self.log.write("ended", at=now, call=CALL, sent=True, **ended)
         self.log.write("stop", at=now + seconds, call=CALL, reason=16)
@@ -151,10 +146,7 @@
 
     def end_in_a_cut(self, *kinds):
         """Writes an end during a cut that its caller is never told, with more faults at the exchange."""
-        self.launch()
-        self.log.write("set-up", call=CALL, second=False)
-        self.log.write("answered", call=CALL)
-        self.log.write("running", call=CALL, body=f"v=0 {CALL}")
+        self.establish()
         self.log.write("fault", kind="restart", node=1)
         self.log.write("fault", kind="cut", name="s-1")
         self.log.write("ended", call=CALL, sent=True, on_own_connection=True)
@@ -178,22 +170,21 @@
         self.log.write("stop", call=CALL, reason=42)
         self.assert_found("two attempts")
 
-    def test_set_up_sent_again_after_the_kill_of_its_node(self):
+    def send_again_after_kill(self, port):
+        """Writes a set-up that is sent to port 1, and to port 2 after the node at `port` was killed."""
         self.launch()
         self.log.write("set-up", call=CALL, second=False)
-        self.log.write("node-killed", port=1)
+        self.log.write("node-killed", port=port)
         self.log.write("launch", call=CALL, left_s=0.0, port=2)
         EventLog(str(self.folder / "other.events"), "s-2").write("set-up", call=CALL, second=False)
         self.log.write("stop", call=CALL, reason=42)
+
+    def test_set_up_sent_again_after_the_kill_of_its_node(self):
+        self.send_again_after_kill(port=1)
         self.assertEqual(self.violations(), [])
 
     def test_set_up_sent_again_after_the_kill_of_another_node(self):
-        self.launch()
-        self.log.write("set-up", call=CALL, second=False)
-        self.log.write("node-killed", port=3)
-        self.log.write("launch", call=CALL, left_s=0.0, port=2)
-        EventLog(str(self.folder / "other.events"), "s-2").write("set-up", call=CALL, second=False)
-        self.log.write("stop", call=CALL, reason=42)
+        self.send_again_after_kill(port=3)
         self.assert_found("two attempts")
 
     def test_set_up_after_a_drain(self):
