--- a/tests/soak/sip_hub_process.py
+++ b/tests/soak/sip_hub_process.py
@@ -90,7 +90,7 @@
         if self.state not in ("answered", "confirmed"):
             return
         self.state = "over"
-        self.hub.log.write("ended", call=self.call, sent=True)
+        self.hub.log.write("ended", call=self.call, sent=True, on_own_connection=True)
         await self.restore_peer(contact_uri(self.request))
         self.bye_branch = f"z9hG4bKbye{self.tag}"
         lines = [
