End the connections of both sides by the same functions in a shutdown

Reading what has arrived, finishing and waiting for peers stood in both nodes, with two constants for the last output; it is now net/closing.py, and the time for peers belongs to ShutdownSchedule.

--- a/chutefork/__main__.py
+++ b/chutefork/__main__.py
@@ -24,15 +24,14 @@
 from .net.callers import CallerFrontend
 from .net.channel import Channel
 from .net.clock import CachedClockReactor, UnixClock, install
+from .net.closing import close_when_peers_have
 from .net.connection import log, log_failure
 from .net.driver import Driver
 from .net.exchanges import ExchangeBackend
-from .shutdown import ACCEPT_S, CHECK_INTERVAL_S, PEERS_WAIT_S, ShutdownSchedule
+from .shutdown import ACCEPT_S, CHECK_INTERVAL_S, LAST_OUTPUT_S, ShutdownSchedule
 from .sip import settings as sip_settings
 from .sip.node import SipNode
 
-LAST_OUTPUT_S = 0.03  # for connections that are closed to pass their output to the system
-
 
 class PlatformNode:
     """All parts of the platform's protocol, their start and their shutdown.
@@ -117,18 +116,12 @@
         log(f"left unanswered={len(self.frontend.unanswered)} standing={len(self.frontend.established)}")
         self.driver.post(Shutdown())  # SIGKILL may be near: refuses every call that is still unanswered
         self.frontend.finish_connections()
-        wait_until = min(self.clock.now_us() + round(PEERS_WAIT_S * 1e6), schedule.exit_by)
-        self.wait_for_callers(wait_until, on_stopped)
-
-    def wait_for_callers(self, wait_until: int, on_stopped: Callable[[], None]) -> None:
-        """Leaves callers time to read their last answers and to close; passes on what they still send."""
-        now = self.clock.now_us()
-        if self.frontend.connections and now < wait_until:
-            delay_s = min(CHECK_INTERVAL_S, (wait_until - now) / 1e6)
-            self.clock.callLater(delay_s, self.wait_for_callers, wait_until, on_stopped)
-            return
-        for connection in list(self.frontend.connections):
-            connection.close("leaving")
+        wait_until = schedule.peers_wait_until(self.clock.now_us())
+        close_when_peers_have(
+            self.clock, self.frontend.connections, wait_until, lambda: self.stop(on_stopped)
+        )
+
+    def stop(self, on_stopped: Callable[[], None]) -> None:
         self.backend.shut_down()
         self.channel.shut_down()
         self.driver.call_log.log_counts()
--- a/chutefork/net/callers.py
+++ b/chutefork/net/callers.py
@@ -12,7 +12,8 @@
 
 from ..core import messages
 from .caller_releases import CallerReleases
-from .connection import MAX_MESSAGE_BYTES, Connection, log, read_arrived_input
+from .closing import finish_connections
+from .connection import MAX_MESSAGE_BYTES, Connection, log
 from .setups import SetupParser, SetupTexts
 from .token_bucket import TokenBucket
 
@@ -268,9 +269,7 @@
     def finish_connections(self) -> None:
         """Refuses the set-ups that have arrived and are unread, and sends nothing after that."""
         self.refuses_setups = True
-        read_arrived_input(self.connections)
-        for connection in list(self.connections):
-            connection.finish("leaving")
+        finish_connections(self.connections)
 
     def start(self) -> None:
         """Starts the wait for the list of exchanges and the checks for idle connections."""
--- a/chutefork/net/connection.py
+++ b/chutefork/net/connection.py
@@ -5,8 +5,6 @@
 import re
 import socket
 import sys
-from collections import deque
-from collections.abc import Iterable
 
 from twisted.internet import error
 from twisted.internet.interfaces import IPushProducer
@@ -17,7 +15,6 @@
 
 MAX_MESSAGE_BYTES = 16 * 1024
 IO_CHUNK_BYTES = 16 * 1024  # passed to the receiver, or written to the transport, at a time
-MAX_LAST_READS = 1024  # of all connections that are ended together
 INPUT_BUFFER_BYTES = 4 * IO_CHUNK_BYTES
 OUTPUT_BUFFER_BYTES = 256 * 1024
 # Except tab, LF and CR; no valid text contains them.
@@ -261,14 +258,3 @@
 
     def on_closed(self) -> None:
         """Called once after the connection has closed; subclasses clean up what was open on it."""
-
-
-def read_arrived_input(connections: Iterable[Connection]) -> None:
-    """Processes what has arrived on connections that are to be ended, a piece of each in turn."""
-    pending = deque(connections)
-    reads_left = MAX_LAST_READS
-    while pending and reads_left:
-        connection = pending.popleft()
-        if connection.read_arrived_piece():
-            pending.append(connection)
-            reads_left -= 1
--- a/chutefork/shutdown.py
+++ b/chutefork/shutdown.py
@@ -11,6 +11,7 @@
 ACCEPT_S = 0.75  # how long calls are accepted after SIGTERM
 CHECK_INTERVAL_S = 0.02  # between checks whether a step of the shutdown is done
 PEERS_WAIT_S = 0.5  # at the end, for peers to read their last messages and close their connections
+LAST_OUTPUT_S = 0.05  # for connections that are closed to pass their output to the system
 MAX_DEADLINE_S = 3.0
 MIN_KILL_AFTER_S = 0.7
 # Before the earliest SIGKILL: for the last answers to be sent again or read, and for the process to end.
@@ -33,3 +34,7 @@
             now + round((kill_after_s - LAST_ANSWERS_BEFORE_KILL_S) * 1e6),
             now + round((kill_after_s - EXIT_BEFORE_KILL_S) * 1e6),
         )
+
+    def peers_wait_until(self, now: int) -> int:
+        """How long peers may take to close their connections if these are finished now."""
+        return min(now + round(PEERS_WAIT_S * 1e6), self.exit_by)
--- a/chutefork/sip/node.py
+++ b/chutefork/sip/node.py
@@ -9,9 +9,10 @@
 from ..core.messages import Shutdown
 from ..core.state import State
 from ..net.clock import CachedClockReactor, UnixClock
-from ..net.connection import log, read_arrived_input
+from ..net.closing import close_when_peers_have, finish_connections
+from ..net.connection import log
 from ..net.driver import Driver
-from ..shutdown import ACCEPT_S, CHECK_INTERVAL_S, PEERS_WAIT_S, ShutdownSchedule
+from ..shutdown import ACCEPT_S, CHECK_INTERVAL_S, LAST_OUTPUT_S, ShutdownSchedule
 from .agent import SipAgent
 from .backend import SipBackend
 from .frontend import SipFrontend
@@ -102,21 +103,12 @@
         self.clock.callLater(interval_s, self.wait_for_peers, schedule, on_stopped)
 
     def finish_streams(self, schedule: ShutdownSchedule, on_stopped: Callable[[], None]) -> None:
-        """Answers what has arrived on the TCP connections, and sends nothing on them after that."""
-        read_arrived_input(self.transport.streams)
-        for stream in list(self.transport.streams):
-            stream.finish("leaving")
-        wait_until = min(self.clock.now_us() + round(PEERS_WAIT_S * 1e6), schedule.exit_by)
-        self.wait_for_streams(wait_until, on_stopped)
+        """Answers what has arrived on the TCP connections, and leaves peers time to read and to close."""
+        streams = self.transport.streams
+        finish_connections(streams)
+        wait_until = schedule.peers_wait_until(self.clock.now_us())
+        close_when_peers_have(self.clock, streams, wait_until, lambda: self.stop(on_stopped))
 
-    def wait_for_streams(self, wait_until: int, on_stopped: Callable[[], None]) -> None:
-        """Leaves peers time to read their last messages and to close."""
-        now = self.clock.now_us()
-        if self.transport.streams and now < wait_until:
-            delay_s = min(CHECK_INTERVAL_S, (wait_until - now) / 1e6)
-            self.clock.callLater(delay_s, self.wait_for_streams, wait_until, on_stopped)
-            return
-        for stream in list(self.transport.streams):
-            stream.close("leaving")
+    def stop(self, on_stopped: Callable[[], None]) -> None:
         self.driver.call_log.log_counts()
-        self.clock.callLater(0.05, on_stopped)
+        self.clock.callLater(LAST_OUTPUT_S, on_stopped)
