Note in the soak a stand-in that ended by itself, and keep its standard error

Why the stand-in was gone cannot be told: its standard error was not kept.

Now a stand-in that ends without being closed is a violation of its own, and its standard error lies beside its record.

--- a/tests/soak/fault_run.py
+++ b/tests/soak/fault_run.py
@@ -90,6 +90,7 @@
             for node in self.nodes:
                 node.signal(signal.SIGTERM)
             codes = [node.wait(MAX_DEADLINE_S + KILL_AFTER_DEADLINE_S) for node in self.nodes]
+            self.check_stand_ins()
         finally:
             self.close()
         violations = [f"exit code {code} at the end" for code in codes if code != 0]
@@ -181,6 +182,15 @@
 
     # ---- the end
 
+    def check_stand_ins(self):
+        """Notes the stand-ins that have ended by themselves: the run then shows nothing."""
+        named = [(exchange.name, exchange.process) for exchange in self.exchanges]
+        named += [(callers.config["name"], callers) for callers in self.callers]
+        for name, process in named:
+            code = process.own_exit_code()
+            if code is not None:
+                self.faults.failures.append(f"stand-in {name} ended by itself with {code}")
+
     def check_logs(self):
         """What the programs' logs and their use of resources show."""
         violations = []
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -71,11 +71,21 @@
 
     def __init__(self, module, config):
         self.config = config
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", f"tests.soak.{module}", json.dumps(config)],
-            cwd=ROOT,
-            stdin=subprocess.PIPE,
-        )
+        self.closed = False
+        # What it writes on standard error goes beside its record, if it has one.
+        with contextlib.ExitStack() as stack:
+            log = config.get("log")
+            errors = stack.enter_context(open(f"{log}.stderr", "ab")) if log else None
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", f"tests.soak.{module}", json.dumps(config)],
+                cwd=ROOT,
+                stdin=subprocess.PIPE,
+                stderr=errors,
+            )
+
+    def own_exit_code(self):
+        """The exit code of a process that has ended without being closed; None if it has not."""
+        return None if self.closed else self.process.poll()
 
     def command(self, line):
         """Sends a line, unless the process has been killed."""
@@ -89,6 +99,7 @@
             self.process.send_signal(number)
 
     def close(self):
+        self.closed = True
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         self.process.wait()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from .platform_harness import ROOT
 from .soak.events import EventLog, read_events
 from .soak.platform_oracle import check_platform
-from .soak.processes import Ports
+from .soak.processes import Ports, StandIn
 from .soak.timed_reader import TimedReader
 
 SEEDS = "1-3"
@@ -71,6 +71,22 @@
         self.assertTrue(second.reserve(port))
 
 
+class StandInTests(unittest.TestCase):
+    def test_stand_in_that_ends_by_itself_is_told_from_one_that_was_closed(self):
+        # Guards against violations, or their absence, in a run whose stand-ins are gone.
+        for ends_by_itself in (True, False):
+            stand_in = StandIn("proxy_process", {"port": 0, "target": 9})
+            self.addCleanup(stand_in.close)
+            self.assertIsNone(stand_in.own_exit_code())
+            if ends_by_itself:
+                stand_in.process.stdin.close()  # it ends with its standard input
+                stand_in.process.wait()
+                self.assertEqual(stand_in.own_exit_code(), 0)
+            else:
+                stand_in.close()
+                self.assertIsNone(stand_in.own_exit_code())
+
+
 class OracleTests(unittest.TestCase):
     """The oracle finds what it is there for, in records that are written by hand."""
 
